--- a/choice/example_test.go
+++ b/choice/example_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"corkpass/choice"
+	"thymeway/choice"
 )
 
 // A front with one engine takes a request, sends it and hears of its end.
--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -10,8 +10,8 @@
 	"os"
 	"strings"
 
-	"corkpass/choice"
-	"corkpass/internal/wire"
+	"thymeway/choice"
+	"thymeway/internal/wire"
 )
 
 func main() {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -10,7 +10,7 @@
 	"strconv"
 	"strings"
 
-	"corkpass/choice"
+	"thymeway/choice"
 )
 
 // Kinds of a Line.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -4,7 +4,7 @@
 	"strings"
 	"testing"
 
-	"corkpass/choice"
+	"thymeway/choice"
 )
 
 const settings = `{"categories":[{"name":"c","sloMs":100,"idempotency":"at_most_once","byArrival":true}],"later":{"x":1}}`
