--- /dev/null
+++ b/internal/board/board.go
@@ -0,0 +1,233 @@
+// Package board speaks the notice board's protocol: numbered changes of the list of worker groups, a line each.
+package board
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"log"
+	"math"
+	"net/netip"
+	"strconv"
+
+	"thymeway/choice"
+	"thymeway/internal/coordinator"
+	"thymeway/internal/deadline"
+	"thymeway/internal/link"
+)
+
+// Pauses and limits.
+const (
+	silence   = 2500.0 // ms without a line after which the connection counts as broken: one comes each second
+	pauseLow  = 50.0   // ms before the first try to connect again
+	pauseHigh = 1000.0
+	mostLine  = 1 << 20
+)
+
+type event struct {
+	Rev  *int64
+	Pool *struct {
+		Complete bool
+		Members  []member
+	}
+}
+
+type member struct {
+	ID        string
+	HostPort  string `json:"host_port"`
+	Locality  string
+	Flavor    string
+	Cell      int
+	Phase     string
+	Size      float64
+	UpSinceMs float64 `json:"up_since_ms"`
+}
+
+// list makes the module's list of an event. The board's clock is the system's, which is also the module's.
+func (e event) list() (whole bool, out []coordinator.Member, err error) {
+	for _, m := range e.Pool.Members {
+		x := coordinator.Member{Addr: m.HostPort, Engine: choice.Engine{ID: m.ID, Zone: m.Locality, Kind: m.Flavor,
+			Size: m.Size, Cell: m.Cell, Started: m.UpSinceMs}}
+		switch m.Phase {
+		case "Ready":
+		case "Terminating":
+			x.Status = choice.Draining
+		case "Gone":
+			x.Status = choice.Removed
+		default:
+			return false, nil, fmt.Errorf("phase %.40q is unknown", m.Phase)
+		}
+		if m.ID == "" {
+			return false, nil, fmt.Errorf("id: missing")
+		}
+		if _, err := netip.ParseAddrPort(m.HostPort); err != nil && (x.Status != choice.Removed || m.HostPort != "") {
+			return false, nil, fmt.Errorf("host_port: %.60q does not have the form IP:PORT", m.HostPort)
+		}
+		out = append(out, x)
+	}
+	return e.Pool.Complete, out, nil
+}
+
+func parse(line []byte) (e event, err error) {
+	if err = json.Unmarshal(line, &e); err != nil {
+		return e, err
+	}
+	if e.Rev == nil || *e.Rev < 1 {
+		return e, fmt.Errorf("rev: missing or under 1")
+	}
+	if e.Pool == nil {
+		return e, fmt.Errorf("pool: missing")
+	}
+	return e, nil
+}
+
+// Listener takes the changes in their order.
+type Listener interface {
+	List(whole bool, members []coordinator.Member)
+}
+
+// Watch follows the notice board for as long as the program runs.
+type Watch struct {
+	Dialer    link.Dialer
+	Deadlines *deadline.Queue
+	Now       func() float64
+	Listener  Listener
+	Addr      string
+	Connect   float64 // ms in which a connection has to come up
+
+	rev   int64
+	pause float64
+	cur   *feed
+	timer deadline.Entry
+}
+
+// feed is one connection to the board.
+type feed struct {
+	w   *Watch
+	c   link.Conn
+	buf []byte
+}
+
+// Known takes the events of the start, in the form of the configuration.
+func (w *Watch) Known(text []byte) error {
+	var known struct {
+		Rev     int64
+		Notices []json.RawMessage
+	}
+	if err := json.Unmarshal(text, &known); err != nil {
+		return fmt.Errorf("known: %v", err)
+	}
+	for i, n := range known.Notices {
+		if err := w.take(n); err != nil {
+			return fmt.Errorf("known.notices[%d]: %v", i, err)
+		}
+	}
+	w.rev = max(w.rev, known.Rev)
+	return nil
+}
+
+// take applies one event; those already known are passed over.
+func (w *Watch) take(line []byte) error {
+	e, err := parse(line)
+	if err != nil {
+		return err
+	}
+	if *e.Rev <= w.rev {
+		return nil
+	}
+	whole, list, err := e.list()
+	if err != nil {
+		return err
+	}
+	w.rev = *e.Rev
+	w.Listener.List(whole, list)
+	return nil
+}
+
+// Start connects.
+func (w *Watch) Start() {
+	f := &feed{w: w}
+	w.cur = f
+	w.timer.Do = func() { f.lose("silent", link.Silent) }
+	w.Deadlines.Set(&w.timer, w.Now()+w.Connect)
+	w.Dialer.Dial(w.Addr, f)
+}
+
+// lose gives a connection up and asks for a new one. Danger: what the board has counts as told, connected or
+// not, so the pause stays short.
+func (f *feed) lose(why string, e link.End) {
+	if f.w.cur != f {
+		return
+	}
+	log.Printf("event=board-lost why=%q end=%s rev=%d", why, e, f.w.rev)
+	f.w.cur = nil
+	if f.c != nil {
+		f.c.Close()
+	}
+	f.w.pause = math.Min(math.Max(2*f.w.pause, pauseLow), pauseHigh)
+	f.w.timer.Do = f.w.Start
+	f.w.Deadlines.Set(&f.w.timer, f.w.Now()+f.w.pause)
+}
+
+// Opened asks for all that came later than what is known.
+func (f *feed) Opened(c link.Conn) {
+	f.c = c
+	if f.w.cur != f { // too late
+		c.Close()
+		return
+	}
+	f.w.Deadlines.Set(&f.w.timer, f.w.Now()+silence)
+	c.Write([]byte("watch " + strconv.FormatInt(f.w.rev, 10) + "\n"))
+}
+
+// Received takes lines, however they are cut.
+func (f *feed) Received(b []byte) {
+	if f.w.cur != f {
+		return
+	}
+	f.buf = append(f.buf, b...)
+	used := 0
+	for {
+		i := bytes.IndexByte(f.buf[used:], '\n')
+		if i < 0 {
+			break
+		}
+		line := bytes.TrimSpace(f.buf[used : used+i])
+		used += i + 1
+		f.w.Deadlines.Set(&f.w.timer, f.w.Now()+silence)
+		if err := f.line(line); err != nil {
+			f.lose(err.Error(), link.Garbled)
+			return
+		}
+	}
+	f.buf = append(f.buf[:0], f.buf[used:]...)
+	if len(f.buf) > mostLine {
+		f.lose("a line without an end", link.Garbled)
+	}
+}
+
+func (f *feed) line(line []byte) error {
+	if len(line) == 0 {
+		return nil
+	}
+	if line[0] == '{' {
+		err := f.w.take(line)
+		if err == nil {
+			f.w.pause = 0
+		}
+		return err
+	}
+	last, err := strconv.ParseInt(string(line), 10, 64)
+	if err != nil {
+		return fmt.Errorf("%.60q is neither an event nor a number", line)
+	}
+	if last > f.w.rev {
+		// Danger: an event that was written and did not come would be missed for good.
+		return fmt.Errorf("events up to %d are missing", last)
+	}
+	f.w.pause = 0
+	return nil
+}
+
+// Closed comes when the connection ends by itself or did not come up.
+func (f *feed) Closed(e link.End) { f.lose("closed", e) }
--- /dev/null
+++ b/internal/coordinator/coordinator.go
@@ -0,0 +1,238 @@
+// Package coordinator owns the decision module and the life of each request. It knows no protocol: requests come
+// from some client side and go to some engine side, both behind small interfaces.
+package coordinator
+
+import (
+	"log"
+
+	"thymeway/choice"
+	"thymeway/internal/deadline"
+	"thymeway/internal/link"
+)
+
+// Request is a client's request, whatever protocol brought it.
+type Request struct {
+	choice.Request
+	Idem      string // the client's idempotency key
+	Statement string
+	Client    Client
+}
+
+// Client is owed one of these calls for each request, once; none after Drop.
+type Client interface {
+	Serve(pages [][]byte)
+	Refuse(comeBack float64) // ms; 0: no advice
+	Fail(why string)
+}
+
+// Attempt is one send of a request.
+type Attempt struct {
+	*Request
+	Engine string
+	Number int
+	Grant  float64 // MB; 0: the engine's own choice
+	Until  float64 // when the wait for it ends
+}
+
+// Outcome is how an attempt ended.
+type Outcome struct {
+	Request   string
+	Attempt   int
+	Engine    string
+	End       link.End
+	Took      float64
+	Work, Mem float64
+	Report    choice.Report
+	Pages     [][]byte
+}
+
+// Engines runs attempts. Each Send and each Probe gets one Ended or Probed.
+type Engines interface {
+	Know(id, addr string, gone bool)
+	Send(a Attempt)
+	Cancel(request string, attempt int)
+	Probe(engine string)
+}
+
+// Member is an entry of the engine list with its address.
+type Member struct {
+	choice.Engine
+	Addr string
+}
+
+// open is a request that is owed its answer, or that has attempts out.
+type open struct {
+	*Request
+	grant float64
+	sends int
+	out   int
+	ended bool
+}
+
+// Coordinator holds the module's front and what it has in hand. All calls come from the event loop.
+type Coordinator struct {
+	front     *choice.Front
+	now       func() float64
+	deadlines *deadline.Queue
+	engines   Engines
+	wake      func() // asks for a Turn soon
+	requests  map[string]*open
+	events    []choice.Event
+	owed      int
+	known     map[string]bool // classes
+}
+
+// New starts a front. wake must cause a call of Turn soon, and never from within itself.
+func New(s choice.Settings, now func() float64, d *deadline.Queue, e Engines, wake func()) *Coordinator {
+	c := &Coordinator{front: choice.New(s, now()), now: now, deadlines: d, engines: e, wake: wake,
+		requests: map[string]*open{}, known: map[string]bool{}}
+	for _, k := range s.Classes {
+		c.known[k.Name] = true
+	}
+	return c
+}
+
+// Knows tells whether the settings name a class.
+func (c *Coordinator) Knows(class string) bool { return c.known[class] }
+
+// Owed is the number of requests without their answer.
+func (c *Coordinator) Owed() int { return c.owed }
+
+func (c *Coordinator) tell(e choice.Event) {
+	c.events = append(c.events, e)
+	c.wake()
+}
+
+// Take takes a request. It answers at once what it can't hand to the module.
+func (c *Coordinator) Take(r *Request) {
+	if c.requests[r.ID] != nil {
+		// Danger: two requests of one id could not be told apart by the module nor by a worker group.
+		r.Client.Fail("a request with this id is still open")
+		return
+	}
+	c.requests[r.ID] = &open{Request: r}
+	c.owed++
+	c.tell(r.Request)
+}
+
+// Drop ends a request whose client has left. It is owed nothing any more.
+func (c *Coordinator) Drop(r *Request) {
+	q := c.requests[r.ID]
+	if q == nil || q.Request != r || q.ended {
+		return
+	}
+	c.end(q)
+	c.tell(choice.Gone{Request: r.ID})
+}
+
+// end marks a request as answered, and forgets it once nothing of it is out.
+func (c *Coordinator) end(q *open) {
+	if !q.ended {
+		q.ended = true
+		c.owed--
+	}
+	if q.out == 0 {
+		delete(c.requests, q.ID)
+	}
+}
+
+// List takes news of the engine list.
+func (c *Coordinator) List(whole bool, members []Member) {
+	l := choice.EngineList{Whole: whole}
+	for _, m := range members {
+		c.engines.Know(m.ID, m.Addr, m.Status == choice.Removed)
+		l.Engines = append(l.Engines, m.Engine)
+	}
+	c.tell(l)
+}
+
+// Ended takes the end of an attempt. A good one goes to the client at once and ends the request.
+func (c *Coordinator) Ended(o Outcome) {
+	q := c.requests[o.Request]
+	if q == nil {
+		return
+	}
+	q.out--
+	if o.End == link.Served && !q.ended {
+		q.Client.Serve(o.Pages)
+		c.end(q)
+	}
+	ended := q.ended
+	if ended {
+		c.end(q)
+	}
+	c.tell(choice.Outcome{Request: o.Request, Attempt: o.Attempt, Engine: o.Engine, Result: o.End.Result(),
+		Took: o.Took, Ended: ended, Work: o.Work, Mem: o.Mem, Report: o.Report})
+}
+
+// Noted takes word on an attempt that is out.
+func (c *Coordinator) Noted(request, engine string, attempt int, kind choice.NoteKind, level float64) {
+	if c.requests[request] != nil {
+		c.tell(choice.Note{Request: request, Attempt: attempt, Engine: engine, Kind: kind, Level: level})
+	}
+}
+
+// Probed takes the end of a probe.
+func (c *Coordinator) Probed(o Outcome) {
+	c.tell(choice.Probed{Engine: o.Engine, Result: o.End.Result(), Took: o.Took, Report: o.Report})
+}
+
+// Turn lets the module answer what has come in, in one step. What its actions bring about at once waits for the
+// next turn.
+func (c *Coordinator) Turn() {
+	if len(c.events) == 0 {
+		return
+	}
+	events := c.events
+	c.events = nil
+	for _, a := range c.front.Step(c.now(), events) {
+		c.perform(a)
+	}
+}
+
+func (c *Coordinator) perform(a choice.Action) {
+	switch a := a.(type) {
+	case choice.Send:
+		c.send(a)
+	case choice.Terms:
+		if q := c.requests[a.Request]; q != nil {
+			q.grant = a.Grant
+		}
+	case choice.Cancel:
+		c.engines.Cancel(a.Request, a.Attempt)
+	case choice.Refuse:
+		if q := c.requests[a.Request]; q != nil && !q.ended {
+			c.end(q)
+			q.Client.Refuse(a.ComeBack)
+		}
+	case choice.Fail:
+		if q := c.requests[a.Request]; q != nil && !q.ended {
+			c.end(q)
+			q.Client.Fail("no worker group could finish it")
+		}
+	case choice.Wake:
+		e := &deadline.Entry{Do: func() { c.tell(choice.Timer{Token: a.Token}) }}
+		c.deadlines.Set(e, a.At)
+	case choice.Probe:
+		c.engines.Probe(a.Engine)
+	case choice.Log:
+		log.Printf("event=module text=%q", a.Text)
+	}
+	// Subscribe and Tell have no counterpart: the notice board tells without being asked, and coordinators do
+	// not talk to each other.
+}
+
+func (c *Coordinator) send(a choice.Send) {
+	q := c.requests[a.Request]
+	if q == nil || q.ended {
+		return // it has no attempt to end: the module knows of the end, or will at its next step
+	}
+	n := q.sends
+	q.sends++
+	q.out++
+	until := q.Deadline
+	if t := c.now() + a.Timeout; a.Timeout > 0 && t < until {
+		until = t
+	}
+	c.engines.Send(Attempt{Request: q.Request, Engine: a.Engine, Number: n, Grant: q.grant, Until: until})
+}
--- /dev/null
+++ b/internal/link/link.go
@@ -0,0 +1,73 @@
+// Package link names what the protocols and the sockets ask of each other, so that each protocol can be
+// played without a socket. It also holds the one list of the ways in which a connection can end.
+package link
+
+import "thymeway/choice"
+
+// End is how a connection, or what was asked over it, came to its end.
+type End uint8
+
+// The ways to end.
+const (
+	Served    End = iota // the worker group gave the whole result
+	Full                 // the worker group turned it away, and it never ran
+	Over                 // the worker group found its time over, and it never ran
+	Failed               // the worker group gave an error
+	Refused              // the other side refused the connection: no process listens
+	Unreached            // the connection did not come up in time, or there was no descriptor for it
+	Died                 // the connection broke and a new one was refused: the process died
+	Silent               // no answer came in time
+	GivenUp              // called off
+	Hangup               // the other side closed the connection
+	Broken               // the connection was reset, or the system gave an error
+	Garbled              // the other side sent what can't be read
+	Idle                 // closed by us after a time without use
+	Stopped              // closed by us
+)
+
+var names = [...]string{"served", "full", "over", "failed", "refused", "unreached", "died", "silent", "given-up",
+	"hangup", "broken", "garbled", "idle", "stopped"}
+
+func (e End) String() string { return names[e] }
+
+// Result is the module's outcome for each way to end. Danger: Full, ConnectFailed and Moot promise the module
+// that nothing ran; only an answer that says so, or a connection that never came up, may be mapped to them.
+func (e End) Result() choice.Result {
+	switch e {
+	case Served:
+		return choice.OK
+	case Full:
+		return choice.Full
+	case Over:
+		return choice.Moot
+	case Failed:
+		return choice.Error
+	case Refused, Unreached:
+		return choice.ConnectFailed
+	case Silent:
+		return choice.Timeout
+	case GivenUp, Idle, Stopped:
+		return choice.Cancelled
+	}
+	return choice.Reset // Died, Hangup, Broken, Garbled
+}
+
+// Conn is an open connection. Neither call waits. A closed connection takes further calls and does nothing.
+type Conn interface {
+	Write(b []byte)
+	Close()
+	Pending() int // bytes that the system has not taken yet
+}
+
+// Handler is the object behind a connection. Opened comes first, if the connection comes up; Closed comes once
+// at the end, but not after our own Close. The bytes of Received are valid during the call only.
+type Handler interface {
+	Opened(c Conn)
+	Received(b []byte)
+	Closed(e End)
+}
+
+// Dialer opens connections. Whatever happens is told to the handler later, never during Dial.
+type Dialer interface {
+	Dial(addr string, h Handler)
+}
--- /dev/null
+++ b/internal/pg/fields.go
@@ -0,0 +1,105 @@
+package pg
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+
+	"thymeway/internal/coordinator"
+	"thymeway/internal/sql"
+)
+
+const (
+	mostName  = 128     // bytes of a name, an id or a key
+	mostLimit = 3600000 // ms that a client may wait
+)
+
+// read makes a request of a query's text, up to its deadline, of which it tells the limit. Each fault names
+// the field.
+func read(text string) (r *coordinator.Request, limit float64, err error) {
+	fields, statement, ok := sql.Fields(text)
+	if !ok {
+		return nil, 0, fmt.Errorf("no comment with the fields ahead of the statement")
+	}
+	if statement == "" {
+		return nil, 0, fmt.Errorf("no statement behind the fields")
+	}
+	r = &coordinator.Request{Statement: statement}
+	seen := map[string]bool{}
+	for _, pair := range strings.Split(fields, ",") {
+		k, v, ok := strings.Cut(strings.TrimSpace(pair), "=")
+		if !ok {
+			return nil, 0, fmt.Errorf("field %.40q: not name=value", pair)
+		}
+		if seen[k] {
+			return nil, 0, fmt.Errorf("field %s: given twice", k)
+		}
+		seen[k] = true
+		switch k {
+		case "verb":
+			r.Class, err = word(v)
+		case "txn":
+			r.ID, err = hex(v, 16)
+		case "limit":
+			limit, err = amount(v)
+			if err == nil && (limit <= 0 || limit > mostLimit) {
+				err = fmt.Errorf("%q is not between 0 and %d", v, mostLimit)
+			}
+		case "team":
+			r.Tenant, err = word(v)
+		case "second":
+			if r.Repeat = v == "1"; !r.Repeat {
+				err = fmt.Errorf("%.40q is not 1", v)
+			}
+		case "unique":
+			r.Idem, err = word(v)
+		case "cpu":
+			r.Work, err = amount(v)
+		case "heap_mb":
+			r.Mem, err = amount(v)
+		case "item":
+			r.Key, err = word(v)
+		default:
+			err = fmt.Errorf("unknown")
+		}
+		if err != nil {
+			return nil, 0, fmt.Errorf("field %.40q: %v", k, err)
+		}
+	}
+	for _, k := range []string{"verb", "txn", "limit"} {
+		if !seen[k] {
+			return nil, 0, fmt.Errorf("field %s: missing", k)
+		}
+	}
+	r.Tables, _ = sql.Group(statement)
+	return r, limit, nil
+}
+
+// word is a text that can stand in a header as it is.
+func word(v string) (string, error) {
+	if v == "" || len(v) > mostName {
+		return "", fmt.Errorf("%d bytes, 1 to %d may be", len(v), mostName)
+	}
+	for i := 0; i < len(v); i++ {
+		if v[i] <= ' ' || v[i] >= 0x7f {
+			return "", fmt.Errorf("%q can't stand there", v[i])
+		}
+	}
+	return v, nil
+}
+
+func hex(v string, digits int) (string, error) {
+	if len(v) != digits || strings.Trim(v, "0123456789abcdefABCDEF") != "" {
+		return "", fmt.Errorf("%.40q is not %d hex digits", v, digits)
+	}
+	return v, nil
+}
+
+func amount(v string) (float64, error) {
+	f, err := strconv.ParseFloat(v, 64)
+	if err != nil || math.IsNaN(f) || math.IsInf(f, 0) || f < 0 {
+		return 0, fmt.Errorf("%.40q is not a number from 0", v)
+	}
+	return f, nil
+}
--- /dev/null
+++ b/internal/rest/fleet.go
@@ -0,0 +1,143 @@
+// Package rest speaks the worker groups' protocol: calls over HTTP/1.1, one at a time on a connection, where no
+// connection owns a query.
+package rest
+
+import (
+	"strings"
+
+	"thymeway/choice"
+	"thymeway/internal/coordinator"
+	"thymeway/internal/deadline"
+	"thymeway/internal/link"
+)
+
+// Limits and pauses, in ms.
+const (
+	pollWithin   = 650.0  // for the news of a query, which come after 250 at the latest
+	callWithin   = 500.0  // for any other answer
+	probeWithin  = 250.0  // for a probe
+	unasked      = 2000.0 // after which a worker group drops a query that nobody asks for
+	unaskedSlack = 100.0  // for the way there
+	retryPause   = 150.0  // between two tries to reach a silent worker group
+	quickPause   = 20.0   // before asking again after a broken connection
+	mostPages    = 64
+	mostResult   = 48000 // bytes of a whole result
+)
+
+// Watcher is told what becomes of attempts and probes, sometimes before the call that starts them returns.
+type Watcher interface {
+	Ended(coordinator.Outcome)
+	Noted(id, engine string, attempt int, kind choice.NoteKind, level float64)
+	Probed(coordinator.Outcome)
+}
+
+// Fleet is all worker groups that were ever named.
+type Fleet struct {
+	Dialer         link.Dialer
+	Deadlines      *deadline.Queue
+	Now            func() float64
+	Watcher        Watcher
+	ConnectTimeout float64
+	ConnIdle       float64 // for which an unused connection is kept
+	MostWires      int     // connections to all worker groups
+
+	groups   map[string]*group
+	attempts map[key]*attempt
+	wires    int
+}
+
+type key struct {
+	id string
+	n  int
+}
+
+// Know takes an entry of the list: where a worker group is, or that it has gone.
+func (f *Fleet) Know(id, addr string, gone bool) {
+	if f.groups == nil {
+		f.groups, f.attempts = map[string]*group{}, map[key]*attempt{}
+	}
+	g := f.groups[id]
+	if g == nil {
+		g = &group{f: f, id: id}
+		f.groups[id] = g
+	}
+	if addr != "" && addr != g.addr || gone {
+		// Danger: a new worker group may have the address of one that has gone.
+		for _, w := range append([]*wire(nil), g.idle...) {
+			w.unidle()
+			w.c.Close()
+			f.wires--
+		}
+	}
+	if addr != "" {
+		g.addr = addr
+	}
+	g.gone = gone
+}
+
+// room tells whether one more connection may be opened, and closes an idle one elsewhere if that makes room.
+func (f *Fleet) room() bool {
+	if f.wires < f.MostWires {
+		return true
+	}
+	var most *group
+	for _, g := range f.groups {
+		if most == nil || len(g.idle) > len(most.idle) || len(g.idle) == len(most.idle) && g.id < most.id {
+			most = g
+		}
+	}
+	if most == nil || len(most.idle) == 0 {
+		return false
+	}
+	w := most.idle[0]
+	w.unidle()
+	w.c.Close()
+	f.wires--
+	return true
+}
+
+// Send starts an attempt.
+func (f *Fleet) Send(s coordinator.Attempt) {
+	a := &attempt{Attempt: s, f: f, g: f.groups[s.Engine], sent: f.Now()}
+	a.begin()
+}
+
+// Cancel gives an attempt up. Its end comes once it can't be out any more.
+func (f *Fleet) Cancel(id string, n int) {
+	if a := f.attempts[key{id, n}]; a != nil {
+		a.cancel()
+	}
+}
+
+// Probe asks a worker group for its report.
+func (f *Fleet) Probe(engine string) {
+	g, sent := f.groups[engine], f.Now()
+	tell := func(r *reply, e link.End) {
+		p := coordinator.Outcome{Engine: engine, End: e, Took: f.Now() - sent}
+		if r != nil {
+			p.Report = r.report
+			if r.status != 200 {
+				p.End = link.Full
+			}
+		}
+		f.Watcher.Probed(p)
+	}
+	if g == nil || g.addr == "" {
+		tell(nil, link.Unreached)
+		return
+	}
+	g.start(&call{build: func() []byte { return request("GET", "/busy", g.addr, "", nil) }, within: probeWithin, done: tell})
+}
+
+// request makes the bytes of a call.
+func request(method, path, host, body string, headers []string) []byte {
+	var b strings.Builder
+	b.Grow(256 + len(body))
+	b.WriteString(method + " " + path + " HTTP/1.1\r\nHost: " + host + "\r\n")
+	for i := 0; i+1 < len(headers); i += 2 {
+		b.WriteString(headers[i] + ": " + headers[i+1] + "\r\n")
+	}
+	b.WriteString("\r\n")
+	b.WriteString(body)
+	return []byte(b.String())
+}
