Mark table groups that a load holds and move waiting queries off them

The module took the note for a sign of life only (choice.go, note) and knew of locks by its own loads alone (predict). Change: blocked() marks the group on that engine for about a load's time, and moves the query where another engine promises less than half the wait.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -68,6 +68,8 @@
 	tailShare    = 0.97    // share of a class's answers that come sooner than its high percentile
 	tailFirst    = 4.0     // times the expected latency: that percentile before any is known
 	tailLearn    = 0.3     // step of its logarithm
+	lockSpan     = 1.0     // times a load's usual time for which a data set is taken to be held once a query waits
+	lockMoves    = 0.5     // share of the expected wait under which another engine must stay for a move there
 	lostFirst    = 1.6     // note periods without word after which a new attempt is taken to be lost
 	lostNext     = 1.15    // the same after its first note
 	badPlan      = 4.0     // ratio: an attempt heading for this many fresh predictions is started anew
@@ -297,6 +299,8 @@
 				p += math.Max(a.expect-(f.now-a.sent), a.expect/4)
 			}
 		}
+		// Danger: a peer's load is not seen; only a query that stands still behind it tells of it.
+		p += math.Max(e.locked[q.Tables]-f.now, 0)
 	}
 	return p
 }
@@ -753,6 +757,10 @@
 	}
 	c.n++
 	c.work += (math.Min(work, c.work*clip) - c.work) * math.Max(learnWork, 1/(c.n+1))
+	if a.stood { // its time tells of a load, not of its engine
+		return
+	}
+	delete(a.e.locked, a.q.Tables)
 	x := map[bool]*factor{false: &a.e.cold, true: &a.e.warm}[a.warm]
 	r := bound(o.Took/math.Max(base*a.scale, 0.01), clip)
 	if x.n++; x.n == 1 {
@@ -796,6 +804,9 @@
 				q.c.grant *= math.Pow(bound(1+n.Level/q.Mem/q.c.grant, clip), grantUp)
 			}
 			a.e.heard, a.noted, a.spilt = f.now, true, a.spilt || n.Kind == NoteSpill
+			if n.Kind == NoteWait && n.Level == 2 {
+				f.blocked(a)
+			}
 			if n.Kind == NoteProgress { // only these come at a steady pace
 				a.note = f.now
 				if n.Level > 0.001 {
@@ -806,6 +817,29 @@
 	}
 }
 
+// blocked takes word that an attempt stands still behind a load. Its engine is out for its table group for about
+// as long as a load takes, and where another engine promises much less than that, the request moves there.
+// Danger: what waits holds its memory and its client, and may do so until its time is over.
+func (f *Front) blocked(a *attempt) {
+	q, span := a.q, 0.0
+	for _, c := range f.classList {
+		if c.Load {
+			span = math.Max(span, lockSpan*c.work/c.Threads*f.factor(a.e, true)*f.scale(a.e, 0))
+		}
+	}
+	a.stood = true
+	a.e.locked[q.Tables] = math.Max(a.e.locked[q.Tables], f.now+span)
+	wait, best := f.predict(a.e, q, a.warm), math.Inf(1)
+	for _, e := range f.candidates() {
+		if e != a.e && f.allowed(e, q) && f.room(e, q) {
+			best = math.Min(best, f.predict(e, q, f.warmOn(e, q)))
+		}
+	}
+	if best < lockMoves*wait {
+		f.move(a)
+	}
+}
+
 // sweep is the regular check of what is out: hung engines, bad plans, probes, the list.
 func (f *Front) sweep() {
 	for _, e := range f.engines {
--- a/choice/state.go
+++ b/choice/state.go
@@ -57,6 +57,7 @@
 	seen             float64 // in a list, for the last time
 	warm, cold       factor
 	tables           map[string]float64 // table group -> when last sent
+	locked           map[string]float64 // table group -> until when a load is taken to hold it
 	out              []*attempt         // in the order of their sends
 	threads          float64            // of the attempts out
 	heard            float64
@@ -117,7 +118,7 @@
 	sent, expect           float64
 	base, scale            float64
 	warm, cancelled, light bool
-	noted, spilt           bool
+	noted, spilt, stood    bool
 	note, total            float64
 }
 
@@ -208,7 +209,7 @@
 func (f *Front) engine(x Engine) *engine {
 	e := f.byID[x.ID]
 	if e == nil {
-		e = &engine{Engine: x, cores: defaultCores, tables: map[string]float64{}, reportAt: math.Inf(-1),
+		e = &engine{Engine: x, cores: defaultCores, tables: map[string]float64{}, locked: map[string]float64{}, reportAt: math.Inf(-1),
 			probedAt: math.Inf(-1), hash: hash(x.ID)}
 		for _, k := range f.s.Kinds {
 			if k.Name == x.Kind && k.Cores > 0 {
