--- a/choice/state.go
+++ b/choice/state.go
@@ -46,6 +46,7 @@
 	ownMean, lot     float64   // our threads a core of the fleet; 1 where peers share the engines
 	meanLoad, meanAt float64   // mean of load reports, and when the last one came
 	sweepAt, wakeAt  float64
+	earned           factor // fading sum of what answers earned
 	asked            bool
 	askAt, askPause  float64
 }
@@ -118,7 +119,7 @@
 	sent, expect           float64
 	base, scale            float64
 	warm, cancelled, light bool
-	noted, spilt, stood    bool
+	noted, spilt           bool
 	note, total            float64
 }
 
