--- a/choice/choice.go
+++ b/choice/choice.go
@@ -68,10 +68,6 @@
 	tailShare    = 0.97    // share of a class's answers that come sooner than its high percentile
 	tailFirst    = 4.0     // times the expected latency: that percentile before any is known
 	tailLearn    = 0.3     // step of its logarithm
-	lockSpan     = 1.0     // times a load's usual time for which it is taken to hold a table group
-	lockMoves    = 0.5     // share of that wait under which another engine must stay for a move there
-	heldScarce   = 0.9     // share of the requests that a front can hold from which their places are scarce
-	earnSpan     = 5000.0  // ms over which it is measured what a place earns
 	lostFirst    = 1.6     // note periods without word after which a new attempt is taken to be lost
 	lostNext     = 1.15    // the same after its first note
 	badPlan      = 4.0     // ratio: an attempt heading for this many fresh predictions is started anew
@@ -301,8 +297,6 @@
 				p += math.Max(a.expect-(f.now-a.sent), a.expect/4)
 			}
 		}
-		// Danger: a peer's load is not seen; only a query that stands still behind it tells of it.
-		p += math.Max(e.locked[q.Tables]-f.now, 0)
 	}
 	return p
 }
@@ -682,7 +676,6 @@
 	switch o.Result {
 	case OK:
 		f.learn(a, o)
-		f.earn(q)
 		if !a.spilt {
 			c.grant = math.Max(c.grant*grantDown, 1/clip)
 		}
@@ -803,9 +796,6 @@
 				q.c.grant *= math.Pow(bound(1+n.Level/q.Mem/q.c.grant, clip), grantUp)
 			}
 			a.e.heard, a.noted, a.spilt = f.now, true, a.spilt || n.Kind == NoteSpill
-			if n.Kind == NoteWait && n.Level == 2 && f.scarce() {
-				f.blocked(a)
-			}
 			if n.Kind == NoteProgress { // only these come at a steady pace
 				a.note = f.now
 				if n.Level > 0.001 {
@@ -816,60 +806,6 @@
 	}
 }
 
-// scarce tells that this front holds about as many requests as it can: what it keeps keeps others out.
-func (f *Front) scarce() bool {
-	return f.s.MostHeld > 0 && float64(len(f.requests)) >= heldScarce*float64(f.s.MostHeld)
-}
-
-// blocked takes word that an attempt stands still behind a load. Its engine is out for its table group for about
-// as long as a load takes, and where another engine promises much less than that, the request moves there.
-func (f *Front) blocked(a *attempt) {
-	q, span := a.q, 0.0
-	for _, c := range f.classList {
-		if c.Load {
-			span = math.Max(span, lockSpan*c.work/c.Threads*f.factor(a.e, true)*f.scale(a.e, 0))
-		}
-	}
-	a.e.locked[q.Tables] = f.now + span
-	wait, best := f.predict(a.e, q, a.warm), math.Inf(1)
-	for _, e := range f.candidates() {
-		if e != a.e && f.allowed(e, q) && f.room(e, q) {
-			best = math.Min(best, f.predict(e, q, f.warmOn(e, q)))
-		}
-	}
-	if best < lockMoves*wait {
-		f.move(a)
-	}
-}
-
-// earn counts what an answer earned, for what a place is worth.
-func (f *Front) earn(q *request) {
-	v := q.worth
-	if f.now > q.aimAt {
-		v *= q.c.LateWorth
-	}
-	f.earned.v = f.earned.v*math.Exp((f.earned.at-f.now)/earnSpan) + v
-	f.earned.at = f.now
-}
-
-// yield gives up what is late and would earn less in its place than others do. Danger: where clients' places are
-// scarce, queries that stand still until their time is over take half of them.
-func (f *Front) yield() {
-	if !f.scarce() {
-		return
-	}
-	rate := f.earned.v * math.Exp((f.earned.at-f.now)/earnSpan) / earnSpan / float64(f.s.MostHeld)
-	for _, e := range f.engines {
-		for _, a := range e.out {
-			q := a.q
-			if !q.ended && q.c.Effect == Safe && f.now > q.aimAt && q.worth*q.c.LateWorth < rate*(f.now-q.arrived) {
-				f.cancel(a)
-				f.giveUp(q)
-			}
-		}
-	}
-}
-
 // sweep is the regular check of what is out: hung engines, bad plans, probes, the list.
 func (f *Front) sweep() {
 	for _, e := range f.engines {
@@ -900,7 +836,6 @@
 			}
 		}
 	}
-	f.yield()
 	f.forget()
 	if !f.many { // with many fronts, probes go to a costly query's candidates just before it is sent
 		f.probe(f.engines)
