Play recorded exchanges against the whole program, without a socket

Cause: the program had no test of its own. Found by them: a field in the session that nothing set is gone. A client that closes its side with a query open counts as one that left, as in PostgreSQL.

--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,59 @@
+// Package node puts a coordinator together from its parts. It needs a dialer and a clock, but no socket, so the
+// whole program can be played from a text file.
+package node
+
+import (
+	"math/rand"
+
+	"thymeway/internal/board"
+	"thymeway/internal/config"
+	"thymeway/internal/coordinator"
+	"thymeway/internal/deadline"
+	"thymeway/internal/link"
+	"thymeway/internal/pg"
+	"thymeway/internal/rest"
+)
+
+const (
+	answerMargin = 25.0  // ms by which an answer is due before the client's limit: the way there and back
+	idleShare    = 0.7   // of the time after which worker groups close idle connections
+	engineShare  = 0.5   // of the descriptors, for connections to worker groups
+	clientShare  = 0.37  // of the descriptors; clients hold a third, and what goes beyond is refused
+	stayAfter    = 800.0 // ms that new requests may still come after SIGTERM
+	stayCheck    = 20.0  // ms between looks whether all is answered
+)
+
+// Node is a whole coordinator.
+type Node struct {
+	Coordinator *coordinator.Coordinator
+	Sessions    *pg.Sessions
+	Watch       *board.Watch
+	queue       *deadline.Queue
+	now         func() float64
+}
+
+// New puts a coordinator together. wake must cause a turn soon: a sweep of the queue and a call of Turn.
+func New(c config.Config, d link.Dialer, queue *deadline.Queue, now func() float64, wake func()) (*Node, error) {
+	fleet := &rest.Fleet{Dialer: d, Deadlines: queue, Now: now, ConnectTimeout: c.ConnectTimeout,
+		ConnIdle: c.ConnIdle * idleShare, MostWires: int(float64(c.Sockets) * engineShare)}
+	coord := coordinator.New(c.Choice, now, queue, fleet, wake)
+	fleet.Watcher = coord
+	n := &Node{Coordinator: coord, queue: queue, now: now,
+		Sessions: &pg.Sessions{Coordinator: coord, Now: now, Margin: answerMargin, Most: int(float64(c.Sockets) * clientShare),
+			Random: rand.New(rand.NewSource(int64(c.Seed) + 1))},
+		Watch: &board.Watch{Dialer: d, Deadlines: queue, Now: now, Listener: coord, Addr: c.Board, Connect: 2 * c.ConnectTimeout}}
+	return n, n.Watch.Known(c.Known)
+}
+
+// Leave calls stop once nothing new comes and all that was taken is answered and written.
+func (n *Node) Leave(stop func()) {
+	e := &deadline.Entry{}
+	e.Do = func() {
+		if n.Coordinator.Owed() == 0 && n.Sessions.Pending() == 0 {
+			stop()
+			return
+		}
+		n.queue.Set(e, n.now()+stayCheck)
+	}
+	n.queue.Set(e, n.now()+stayAfter)
+}
--- a/internal/pg/session.go
+++ b/internal/pg/session.go
@@ -62,7 +62,6 @@
 	started bool
 	closed  bool
 	busy    bool // messages are being handled
-	halved  bool // the client has closed its side with a request open
 	skip    bool // an extended query failed: messages are passed over up to its Sync
 	excess  bool
 	pid     uint32
@@ -249,7 +248,7 @@
 	w.result(pages, s.verb)
 	w.ready()
 	s.c.Write(w.b)
-	s.next()
+	s.proceed()
 }
 
 // Refuse answers that a new try is harmless.
@@ -260,22 +259,13 @@
 		text += fmt.Sprintf(", later=%d", int(math.Ceil(comeBack)))
 	}
 	s.fail("ERROR", codeRefused, text)
-	s.next()
+	s.proceed()
 }
 
 // Fail answers without a promise.
 func (s *Session) Fail(why string) {
 	s.answered()
 	s.fail("ERROR", codeFailed, why)
-	s.next()
-}
-
-// next goes on with what waited behind the query.
-func (s *Session) next() {
-	if s.halved {
-		s.close()
-		return
-	}
 	s.proceed()
 }
 
@@ -294,7 +284,8 @@
 	s.gone()
 }
 
-// Closed comes when the connection ends by itself.
+// Closed comes when the connection ends by itself. Like PostgreSQL, it takes a client that closes its side for one
+// that has left: nothing tells a half-closed connection from a closed one.
 func (s *Session) Closed(link.End) {
 	if !s.closed {
 		s.gone()
