--- a/choice/choice.go
+++ b/choice/choice.go
@@ -69,10 +69,10 @@
 	tailFirst    = 4.0     // times the expected latency: that percentile before any is known
 	tailLearn    = 0.3     // step of its logarithm
 	lockSpan     = 0.5     // times a load's usual time: the wait of what stands still behind one
-	lockMark     = 100.0   // ms for which an engine's table group is taken to be held once a query waits for it
+	lockMark     = 100.0   // ms for which a table group is taken to be held once a query waits for it
 	heldScarce   = 0.9     // share of the requests that a front can hold from which their places are scarce
 	earnSpan     = 5000.0  // ms over which it is measured what a place earns
-	loadAway     = 4.0     // ratio by which a load's prediction grows on engines that are not its table group's homes
+	loadAway     = 4.0     // ratio by which a load's prediction grows away from its table group's homes
 	lostFirst    = 1.6     // note periods without word after which a new attempt is taken to be lost
 	lostNext     = 1.15    // the same after its first note
 	badPlan      = 4.0     // ratio: an attempt heading for this many fresh predictions is started anew
@@ -296,7 +296,7 @@
 	if e.Zone != f.s.Zone && f.s.CrossZonePrice > 0 {
 		p *= crossPenalty + crossQuiet*math.Max(0, 1-f.meanLoad/fullLoad)
 	}
-	// Danger: loads on every engine hold a table group everywhere, and what reads it stands still at all of them.
+	// Danger: loads on every engine hold a table group everywhere, and its readers stand still at all.
 	if q.c.Load && !f.many && !slices.Contains(f.homes(q), e) {
 		p *= loadAway
 	}
@@ -328,8 +328,8 @@
 	return span
 }
 
-// earns tells whether a request is worth its place for so long; where not, others would earn more in it. It is
-// asked only where places are scarce.
+// earns tells whether a request is worth its place for so long; where not, others would earn more in it.
+// It is asked only where places are scarce.
 func (f *Front) earns(q *request, span float64) bool {
 	v, rate := q.worth, f.earned.v*math.Exp((f.earned.at-f.now)/earnSpan)/earnSpan
 	if f.now+span > q.aimAt {
@@ -338,8 +338,8 @@
 	return v >= rate/float64(f.s.MostHeld)*span
 }
 
-// blocked takes word that an attempt stands still behind a load: it goes where it need not, or gives its place
-// up. Danger: client connections are few on sockets, and what stands still may hold half of them to its end.
+// blocked takes word that an attempt stands still behind a load: it goes where it need not, or gives its
+// place up. Danger: client connections are few, and what stands still may hold half of them to its end.
 func (f *Front) blocked(a *attempt) {
 	q, best := a.q, math.Inf(1)
 	a.e.locked[q.Tables] = f.now + lockMark
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -818,3 +818,53 @@
 		}
 	})
 }
+
+// Where places are scarce, a lookup that stands still behind a load gives its place up once others earn more in
+// it; where they are not, it keeps waiting.
+func TestStandingStillWherePlacesAreScarce(t *testing.T) {
+	for _, held := range []int{0, 2} {
+		f := New(Settings{Fronts: 1, MaxAttempts: 6, CanCancel: true, NotePeriod: 1000, MostHeld: held, Classes: []Class{
+			{Name: "lookup", Worth: 1, LateWorth: 0.1, Aim: 600, Threads: 1, Waits: true},
+			{Name: "load", Worth: 15, LateWorth: 0.6, Aim: 4000, Threads: 2, Load: true, Effect: Keyed, Window: 12000}}}, 1000)
+		f.Step(1000, []Event{EngineList{Whole: true, Engines: []Engine{{ID: "e1"}}}})
+		for i, at := 0, 1010.0; i < 40; i, at = i+1, at+20 { // quick answers: what a place earns
+			id := "q" + string(rune('a'+i%26)) + string(rune('a'+i/26))
+			f.Step(at, []Event{Request{ID: id, Class: "lookup", Deadline: at + 3000, Work: 5, Tables: "1"}})
+			f.Step(at+10, []Event{Outcome{Request: id, Engine: "e1", Result: OK, Took: 10, Ended: true, Work: 5}})
+		}
+		f.Step(2000, []Event{Request{ID: "s1", Class: "lookup", Deadline: 5000, Work: 5, Tables: "2"},
+			Request{ID: "s2", Class: "lookup", Deadline: 5000, Work: 5, Tables: "2"}})
+		refused := 0
+		for _, a := range f.Step(2005, []Event{Note{Request: "s1", Engine: "e1", Kind: NoteWait, Level: 2}}) {
+			if r, ok := a.(Refuse); ok && r.Request == "s1" {
+				refused++
+			}
+		}
+		if want := min(held, 1); refused != want {
+			t.Errorf("with %d places: %d refusals at the note, want %d", held, refused, want)
+		}
+	}
+}
+
+// Loads of a table group keep to its homes, so that its readers find engines where no load holds it.
+func TestLoadsKeepToHomes(t *testing.T) {
+	f := New(Settings{Fronts: 1, MaxAttempts: 6, Kinds: []Kind{{Name: "k", Cores: 100}},
+		Classes: []Class{{Name: "load", Worth: 15, Aim: 4000, Threads: 2, Load: true, Effect: Keyed, Window: 12000}}}, 1000)
+	list := EngineList{Whole: true}
+	for _, id := range []string{"e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8"} {
+		list.Engines = append(list.Engines, Engine{ID: id, Kind: "k"})
+	}
+	f.Step(1000, []Event{list})
+	used := map[string]bool{}
+	for i := 0; i < 4; i++ {
+		now := 1000 + float64(10*i)
+		for _, a := range f.Step(now, []Event{Request{ID: "l" + string(rune('a'+i)), Class: "load", Deadline: now + 20000, Work: 100, Tables: "3"}}) {
+			if s, ok := a.(Send); ok {
+				used[s.Engine] = true
+			}
+		}
+	}
+	if len(used) == 0 || len(used) > 3 {
+		t.Errorf("four loads of one table group went to %d of 8 engines", len(used))
+	}
+}
