--- a/choice/choice.go
+++ b/choice/choice.go
@@ -71,6 +71,7 @@
 	lockSpan     = 0.5     // times a load's usual time: the wait of what stands still behind one
 	lockMark     = 100.0   // ms for which a table group is taken to be held once a query waits for it
 	heldScarce   = 0.9     // share of the requests that a front can hold from which their places are scarce
+	loadPlaces   = 3.0     // places that a load counts for, as others stand still behind it
 	earnSpan     = 5000.0  // ms over which it is measured what a place earns
 	loadAway     = 4.0     // ratio by which a load's prediction grows away from its table group's homes
 	lostFirst    = 1.6     // note periods without word after which a new attempt is taken to be lost
@@ -335,6 +336,9 @@
 	if f.now+span > q.aimAt {
 		v *= q.c.LateWorth
 	}
+	if q.c.Load {
+		rate *= loadPlaces
+	}
 	return v >= rate/float64(f.s.MostHeld)*span
 }
 
