--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -868,3 +868,15 @@
 		t.Errorf("four loads of one table group went to %d of 8 engines", len(used))
 	}
 }
+
+// A load holds up others, so near the limit of places it has to earn for more than its own.
+func TestLoadsCountForMore(t *testing.T) {
+	f := New(Settings{Fronts: 1, MostHeld: 10, Classes: []Class{{Name: "report", Worth: 12}, {Name: "load", Worth: 12, Load: true}}}, 1000)
+	f.now, f.earned = 1000, factor{v: 10 * 0.01 * earnSpan, at: 1000} // a place earns 0.01 a millisecond
+	for name, want := range map[string]bool{"report": true, "load": false} {
+		q := &request{c: f.class(name), worth: 12, aimAt: 5000}
+		if got := f.earns(q, 1000); got != want {
+			t.Errorf("%s: worth its place for a second: %v, want %v", name, got, want)
+		}
+	}
+}
