Read the configuration again on SIGHUP and follow the board it names

Change: main takes SIGHUP before it reads anything; node.Reload reads through internal/config, keeps the old one on a fault, and board.Watch.Move dials the new address at once with the last known number. Loop.Do keeps what comes before the loop runs; a second SIGTERM does nothing.

--- a/cmd/thymeway/main.go
+++ b/cmd/thymeway/main.go
@@ -23,18 +23,23 @@
 
 func main() {
 	log.SetFlags(log.LUTC | log.Ldate | log.Lmicroseconds)
-	c, err := config.FromEnvironment(os.Getenv)
+	// Danger: SIGHUP ends a program that does not ask for it, so it is asked for before anything else.
+	signals := make(chan os.Signal, 16)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	c, err := read()
 	if err != nil {
 		log.Fatalf("event=configuration-refused error=%q", err)
 	}
-	if err := serve(c); err != nil {
+	if err := serve(c, signals); err != nil {
 		log.Fatalf("event=stopped error=%q", err)
 	}
 	log.Printf("event=stopped name=%s", c.Name)
 }
 
-// serve runs until SIGTERM, and on until all that was taken is answered.
-func serve(c config.Config) error {
+func read() (config.Config, error) { return config.FromEnvironment(os.Getenv) }
+
+// serve runs until SIGTERM, and on until all that was taken is answered. SIGHUP reads the configuration anew.
+func serve(c config.Config, signals <-chan os.Signal) error {
 	debug.SetMemoryLimit(int64(c.MemoryMB * memoryShare * (1 << 20)))
 	debug.SetGCPercent(garbage)
 	queue := deadline.New()
@@ -49,14 +54,16 @@
 		log.Printf("event=ready name=%s listen=%s classes=%d", c.Name, c.Listen, len(c.Choice.Classes))
 		n.Watch.Start()
 	}
-	term := make(chan os.Signal, 1)
-	signal.Notify(term, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
-		<-term
-		loop.Do(func() {
-			log.Printf("event=leaving owed=%d", n.Coordinator.Owed())
-			n.Leave(loop.Stop)
-		})
+		for s := range signals {
+			loop.Do(func() {
+				if s == syscall.SIGHUP {
+					n.Reload(read)
+				} else {
+					n.Leave(loop.Stop)
+				}
+			})
+		}
 	}()
 	return loop.Run(c.Listen)
 }
--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -18,7 +18,7 @@
 
 // Pauses and limits.
 const (
-	silence   = 2500.0 // ms without a line after which the connection counts as broken: one comes each second
+	silence   = 1700.0 // ms without a line after which the connection counts as broken: one comes each second
 	pauseLow  = 50.0   // ms before the first try to connect again
 	pauseHigh = 1000.0
 	mostLine  = 1 << 20
@@ -146,6 +146,19 @@
 	return nil
 }
 
+// Move follows the board at another address from now on, with the number last known. The old connection tells
+// nothing more.
+func (w *Watch) Move(addr string) {
+	if addr == w.Addr {
+		return
+	}
+	w.Addr, w.pause = addr, 0
+	if f := w.cur; f != nil && f.c != nil {
+		f.c.Close()
+	}
+	w.Start()
+}
+
 // Start connects.
 func (w *Watch) Start() {
 	f := &feed{w: w}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -2,6 +2,7 @@
 package config
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/netip"
@@ -27,6 +28,7 @@
 	ConnectTimeout float64
 	ConnIdle       float64
 	AnswerSlack    float64
+	settings       json.RawMessage // as they were read
 }
 
 type file struct {
@@ -123,7 +125,7 @@
 	if held := c.Sockets / clientShare; s.MostHeld <= 0 || s.MostHeld > held {
 		s.MostHeld = held
 	}
-	c.Choice = s
+	c.Choice, c.settings = s, f.Settings
 	var own settings
 	if err := json.Unmarshal(f.Settings, &own); err != nil {
 		return c, fmt.Errorf("settings: %s", jsonFault(err))
@@ -142,6 +144,24 @@
 	return c, nil
 }
 
+// Fixed names the keys in which another configuration differs and that count from a start only. The seed and what
+// is known of worker groups are new with each reading.
+func (c Config) Fixed(o Config) (keys []string) {
+	var a, b bytes.Buffer
+	_, _ = json.Compact(&a, c.settings), json.Compact(&b, o.settings) // both were read before
+	for _, k := range []struct {
+		name   string
+		differ bool
+	}{{"name", c.Name != o.Name}, {"listen", c.Listen != o.Listen}, {"limits.cores", c.Cores != o.Cores},
+		{"limits.memory_mb", c.MemoryMB != o.MemoryMB}, {"limits.sockets", c.Sockets != o.Sockets},
+		{"settings", !bytes.Equal(a.Bytes(), b.Bytes())}} {
+		if k.differ {
+			keys = append(keys, k.name)
+		}
+	}
+	return keys
+}
+
 func jsonFault(err error) string {
 	if t, ok := err.(*json.UnmarshalTypeError); ok && t.Field != "" {
 		return fmt.Sprintf("%s: a %s is not what belongs there", t.Field, t.Value)
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"log"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -37,6 +38,8 @@
 	armed   float64 // for when; 0: not
 	dialer  dialer
 	stopped bool
+	mu      sync.Mutex
+	early   []func() // asked for by Do before the loop is known
 }
 
 // Now is the system's Unix clock in ms, to the microsecond.
@@ -108,15 +111,21 @@
 	}
 }
 
-// Do has something done in a turn, from any goroutine.
+// Do has something done in a turn, from any goroutine. What comes before the loop runs, a signal, waits for it.
 func (l *Loop) Do(f func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.el.Load() == nil {
+		l.early = append(l.early, f)
+		return
+	}
 	l.run(func() {
 		f()
 		l.turn()
 	})
 }
 
-// run has something done on the loop. Before the loop is known nothing needs it; OnOpen asks for a turn then.
+// run has something done on the loop. Before the loop is known nothing else needs it; OnOpen asks for a turn then.
 func (l *Loop) run(f func()) {
 	el := l.el.Load()
 	if el == nil {
@@ -178,7 +187,10 @@
 func (l *Loop) OnOpen(g gnet.Conn) ([]byte, gnet.Action) {
 	if l.el.Load() == nil {
 		el := g.EventLoop()
+		l.mu.Lock()
 		l.el.Store(&el)
+		l.later = append(l.early, l.later...)
+		l.mu.Unlock()
 	}
 	c, dialled := g.Context().(*conn)
 	if !dialled {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,6 +3,7 @@
 package node
 
 import (
+	"log"
 	"math/rand"
 
 	"thymeway/internal/board"
@@ -30,6 +31,8 @@
 	Watch       *board.Watch
 	queue       *deadline.Queue
 	now         func() float64
+	config      config.Config
+	leaving     bool
 }
 
 // New puts a coordinator together. wake must cause a turn soon: a sweep of the queue and a call of Turn.
@@ -38,15 +41,33 @@
 		ConnIdle: c.ConnIdle * idleShare, MostWires: int(float64(c.Sockets) * engineShare)}
 	coord := coordinator.New(c.Choice, now, queue, fleet, wake)
 	fleet.Watcher = coord
-	n := &Node{Coordinator: coord, queue: queue, now: now,
+	n := &Node{Coordinator: coord, queue: queue, now: now, config: c,
 		Sessions: &pg.Sessions{Coordinator: coord, Now: now, Margin: answerMargin, Most: int(float64(c.Sockets) * clientShare),
 			Random: rand.New(rand.NewSource(int64(c.Seed) + 1))},
 		Watch: &board.Watch{Dialer: d, Deadlines: queue, Now: now, Listener: coord, Addr: c.Board, Connect: 2 * c.ConnectTimeout}}
 	return n, n.Watch.Known(c.Known)
 }
 
-// Leave calls stop once nothing new comes and all that was taken is answered and written.
+// Reload takes a configuration read anew. A faulty one leaves all as it is; of a good one the board's address
+// counts, and the rest waits for a restart.
+func (n *Node) Reload(read func() (config.Config, error)) {
+	c, err := read()
+	if err != nil {
+		log.Printf("event=reload-refused error=%q", err)
+		return
+	}
+	log.Printf("event=reloaded board=%s for-restart=%q", c.Board, n.config.Fixed(c))
+	n.Watch.Move(c.Board)
+}
+
+// Leave calls stop once nothing new comes and all that was taken is answered and written. Asked again, it does
+// nothing.
 func (n *Node) Leave(stop func()) {
+	if n.leaving {
+		return
+	}
+	n.leaving = true
+	log.Printf("event=leaving owed=%d", n.Coordinator.Owed())
 	e := &deadline.Entry{}
 	e.Do = func() {
 		if n.Coordinator.Owed() == 0 && n.Sessions.Pending() == 0 {
--- a/internal/node/play_test.go
+++ b/internal/node/play_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strconv"
 	"strings"
 	"testing"
@@ -28,6 +29,7 @@
 	dials   []*side
 	woken   bool
 	keys    map[string][]byte
+	conf    []byte
 }
 
 // side is the far side of a connection.
@@ -177,6 +179,13 @@
 		p.n.Watch.Start()
 		return
 	}
+	if name == "reload" { // KEY VALUE, both as they stand in the file
+		p.n.Reload(func() (config.Config, error) {
+			key := regexp.MustCompile(regexp.QuoteMeta(verb) + `: "[^"]*"`)
+			return config.Parse(key.ReplaceAll(p.conf, []byte(verb+": "+rest)), "", "")
+		})
+		return
+	}
 	s := p.clients[name]
 	if strings.HasPrefix(name, "w") {
 		i, _ := strconv.Atoi(name[1:])
@@ -252,7 +261,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			p := &player{t: t, now: start, queue: deadline.New(), clients: map[string]*side{}, keys: map[string][]byte{}}
+			p := &player{t: t, now: start, queue: deadline.New(), clients: map[string]*side{}, keys: map[string][]byte{}, conf: conf}
 			p.n, err = New(c, p, p.queue, func() float64 { return p.now }, func() { p.woken = true })
 			if err != nil {
 				t.Fatal(err)
