Bound what clients take: push out the silent and idle, check all fields

The log of n1: gnet's accept failed with EMFILE at 376 of 384 descriptors, which ends its event loop, and the program with it (exit 0); 30 requests were lost. A trace of the bad clients showed 450 silent connections that nothing closed (pg/session.go had no deadline), and tenant nobody, cpu=1e19 and heap_mb=1e12 passed on to engines (pg/fields.go took any finite number). Ruled out: engines' connections; the trace of failed dials and waits is empty. Change: Sessions know their share of the descriptors; beyond it the silent and then the longest idle are closed, else the newcomer, so that accept never fails. A message has 2.3 s to be whole. Classes, tenants and keys are checked by Coordinator.Check. Faulty messages in a row slow their own session down. Input is bounded by the memory. Repeated faults are counted (internal/tally).

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -3,6 +3,7 @@
 package coordinator
 
 import (
+	"fmt"
 	"log"
 
 	"thymeway/choice"
@@ -79,21 +80,38 @@
 	requests  map[string]*open
 	events    []choice.Event
 	owed      int
-	known     map[string]bool // classes
+	classes   map[string]choice.Class
+	tenants   map[string]bool
 }
 
 // New starts a front. wake must cause a call of Turn soon, and never from within itself.
 func New(s choice.Settings, now func() float64, d *deadline.Queue, e Engines, wake func()) *Coordinator {
 	c := &Coordinator{front: choice.New(s, now()), now: now, deadlines: d, engines: e, wake: wake,
-		requests: map[string]*open{}, known: map[string]bool{}}
+		requests: map[string]*open{}, classes: map[string]choice.Class{}, tenants: map[string]bool{}}
 	for _, k := range s.Classes {
-		c.known[k.Name] = true
+		c.classes[k.Name] = k
+	}
+	for _, t := range s.Tenants {
+		c.tenants[t.Name] = true
 	}
 	return c
 }
 
-// Knows tells whether the settings name a class.
-func (c *Coordinator) Knows(class string) bool { return c.known[class] }
+// Check tells what keeps a request from being taken, by the settings.
+func (c *Coordinator) Check(r *Request) error {
+	k, ok := c.classes[r.Class]
+	switch {
+	case !ok:
+		return fmt.Errorf("no class %q", r.Class)
+	case len(c.tenants) > 0 && !c.tenants[r.Tenant]:
+		return fmt.Errorf("no tenant %q", r.Tenant)
+	case k.Effect == choice.Keyed && r.Idem == "":
+		return fmt.Errorf("class %s needs an idempotency key", r.Class)
+	case k.InOrder && r.Key == "":
+		return fmt.Errorf("class %s needs a key for its order", r.Class)
+	}
+	return nil
+}
 
 // Owed is the number of requests without their answer.
 func (c *Coordinator) Owed() int { return c.owed }
--- a/internal/deadline/deadline.go
+++ b/internal/deadline/deadline.go
@@ -11,6 +11,9 @@
 	in  bool
 }
 
+// Waits tells whether the entry is in its queue.
+func (e *Entry) Waits() bool { return e.in }
+
 // Queue is sorted by time; entries of one time are in the order in which they were set.
 type Queue struct {
 	tree *btree.BTreeG[*Entry]
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -57,6 +57,7 @@
 	Write(b []byte)
 	Close()
 	Pending() int // bytes that the system has not taken yet
+	Quiet() bool  // open on both sides, and nothing has come that Received was not given
 }
 
 // Handler is the object behind a connection. Opened comes first, if the connection comes up; Closed comes once
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -268,6 +268,16 @@
 	return c.g.OutboundBuffered()
 }
 
+// Quiet looks at what the system holds: the loop may not have come to read it yet.
+func (c *conn) Quiet() bool {
+	if c.closed {
+		return false
+	}
+	var b [1]byte
+	_, _, err := unix.Recvfrom(c.g.Fd(), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return err == unix.EAGAIN
+}
+
 // Stop ends the loop; Run returns.
 func (l *Loop) Stop() {
 	if !l.stopped {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,13 +13,17 @@
 	"thymeway/internal/link"
 	"thymeway/internal/pg"
 	"thymeway/internal/rest"
+	"thymeway/internal/tally"
 )
 
 const (
-	answerMargin = 25.0  // ms by which an answer is due before the client's limit: the way there and back
-	idleShare    = 0.7   // of the time after which worker groups close idle connections
-	engineShare  = 0.5   // of the descriptors, for connections to worker groups
-	clientShare  = 0.37  // of the descriptors; clients hold a third, and what goes beyond is refused
+	answerMargin = 25.0     // ms by which an answer is due before the client's limit: the way there and back
+	idleShare    = 0.7      // of the time after which worker groups close idle connections
+	engineShare  = 0.4      // of the descriptors, for connections to worker groups; most of the others are the clients'
+	reserve      = 28       // descriptors for the program itself, the board and connections that come and go
+	inputShare   = 0.1      // of the memory, for bytes from clients that wait
+	leastInput   = 16 << 10 // bytes of a message that are read at least
+	mostInput    = 256 << 10
 	stayAfter    = 800.0 // ms that new requests may still come after SIGTERM
 	stayCheck    = 20.0  // ms between looks whether all is answered
 )
@@ -41,9 +45,12 @@
 		ConnIdle: c.ConnIdle * idleShare, MostWires: int(float64(c.Sockets) * engineShare)}
 	coord := coordinator.New(c.Choice, now, queue, fleet, wake)
 	fleet.Watcher = coord
+	clients := max(c.Sockets-fleet.MostWires-reserve, 1)
+	faults := &tally.Tally{Now: now}
 	n := &Node{Coordinator: coord, queue: queue, now: now, config: c,
-		Sessions: &pg.Sessions{Coordinator: coord, Now: now, Margin: answerMargin, Most: int(float64(c.Sockets) * clientShare),
-			Random: rand.New(rand.NewSource(int64(c.Seed) + 1))},
+		Sessions: &pg.Sessions{Coordinator: coord, Deadlines: queue, Faults: faults, Now: now, Margin: answerMargin, Most: clients,
+			MostInput: min(max(int(c.MemoryMB*(1<<20)*inputShare)/clients, leastInput), mostInput),
+			Random:    rand.New(rand.NewSource(int64(c.Seed) + 1))},
 		Watch: &board.Watch{Dialer: d, Deadlines: queue, Now: now, Listener: coord, Addr: c.Board, Connect: 2 * c.ConnectTimeout}}
 	return n, n.Watch.Known(c.Known)
 }
@@ -74,6 +81,7 @@
 			stop()
 			return
 		}
+		n.Sessions.Leaving = true
 		n.queue.Set(e, n.now()+stayCheck)
 	}
 	n.queue.Set(e, n.now()+stayAfter)
--- a/internal/node/play_test.go
+++ b/internal/node/play_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"encoding/binary"
 	"flag"
 	"fmt"
@@ -39,6 +40,7 @@
 	h      link.Handler
 	client bool
 	closed bool
+	unread bool // bytes wait that the program was not given
 	rest   []byte
 }
 
@@ -102,6 +104,8 @@
 
 func (s *side) Pending() int { return 0 }
 
+func (s *side) Quiet() bool { return !s.unread }
+
 func (p *player) say(format string, args ...any) {
 	p.out = append(p.out, "  "+fmt.Sprintf(format, args...))
 }
@@ -171,6 +175,9 @@
 		p.advance(start + ms)
 		return
 	}
+	if name == "with" {
+		return
+	}
 	if name == "leave" {
 		p.n.Leave(func() { p.say("stopped") })
 		return
@@ -199,7 +206,7 @@
 		s.h.Opened(s)
 	}
 	send := func(b []byte) {
-		if !s.closed {
+		if !s.closed && len(b) > 0 {
 			s.h.Received(b)
 		}
 	}
@@ -208,6 +215,10 @@
 		send(append(binary.BigEndian.AppendUint32(binary.BigEndian.AppendUint32(nil, 17), 3<<16), "user\x00app\x00\x00"[:9]...))
 	case "query":
 		send(packet("Q", rest+"\x00"))
+	case "flood": // COUNT QUERY
+		n, text, _ := strings.Cut(rest, " ")
+		count, _ := strconv.Atoi(n)
+		send(bytes.Repeat(packet("Q", text+"\x00"), count))
 	case "slowly": // the same, a byte at a time
 		for _, c := range packet("Q", rest+"\x00") {
 			send([]byte{c})
@@ -216,6 +227,8 @@
 		send([]byte(unquote(p.t, rest)))
 	case "cancel":
 		send(append(binary.BigEndian.AppendUint32(binary.BigEndian.AppendUint32(nil, 16), 80877102), p.keys[rest]...))
+	case "unread":
+		s.unread = true
 	case "up":
 		s.h.Opened(s)
 	case "end":
@@ -257,6 +270,10 @@
 			if err != nil {
 				t.Fatal(err)
 			}
+			conf := conf
+			if m := regexp.MustCompile(`(?m)^with (.*): (.*)$`).FindSubmatch(want); m != nil { // a key of the file and its value
+				conf = regexp.MustCompile(regexp.QuoteMeta(string(m[1]))+`: [^,}]*`).ReplaceAll(conf, append(append(m[1], ": "...), m[2]...))
+			}
 			c, err := config.Parse(conf, "", "")
 			if err != nil {
 				t.Fatal(err)
--- a/internal/pg/fields.go
+++ b/internal/pg/fields.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"strconv"
 	"strings"
 
@@ -13,6 +12,8 @@
 const (
 	mostName  = 128     // bytes of a name, an id or a key
 	mostLimit = 3600000 // ms that a client may wait
+	mostWork  = 1e9     // ms of an estimate
+	mostMem   = 1e8     // MB of an estimate
 )
 
 // read makes a request of a query's text, up to its deadline, of which it tells the limit. Each fault names
@@ -42,9 +43,8 @@
 		case "txn":
 			r.ID, err = hex(v, 16)
 		case "limit":
-			limit, err = amount(v)
-			if err == nil && (limit <= 0 || limit > mostLimit) {
-				err = fmt.Errorf("%q is not between 0 and %d", v, mostLimit)
+			if limit, err = amount(v, mostLimit); err == nil && limit == 0 {
+				err = fmt.Errorf("%.40q is not above 0", v)
 			}
 		case "team":
 			r.Tenant, err = word(v)
@@ -55,9 +55,9 @@
 		case "unique":
 			r.Idem, err = word(v)
 		case "cpu":
-			r.Work, err = amount(v)
+			r.Work, err = amount(v, mostWork)
 		case "heap_mb":
-			r.Mem, err = amount(v)
+			r.Mem, err = amount(v, mostMem)
 		case "item":
 			r.Key, err = word(v)
 		default:
@@ -96,10 +96,10 @@
 	return v, nil
 }
 
-func amount(v string) (float64, error) {
+func amount(v string, most float64) (float64, error) {
 	f, err := strconv.ParseFloat(v, 64)
-	if err != nil || math.IsNaN(f) || math.IsInf(f, 0) || f < 0 {
-		return 0, fmt.Errorf("%.40q is not a number from 0", v)
+	if err != nil || !(f >= 0 && f <= most) { // false for what is no number
+		return 0, fmt.Errorf("%.40q is not a number from 0 to %.0f", v, most)
 	}
 	return f, nil
 }
--- a/internal/pg/message.go
+++ b/internal/pg/message.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"strconv"
 )
@@ -15,11 +16,9 @@
 	gssRequest    = 80877104
 )
 
-// Limits of what a client may write in one message.
-const (
-	mostStartup = 10000
-	mostMessage = 256 << 10
-)
+const mostStartup = 10000 // bytes of a message ahead of the start
+
+var errTooLarge = errors.New("message over the size that is read")
 
 // message is a message from a client. kind is 0 for those ahead of the start of a session.
 type message struct {
@@ -28,8 +27,9 @@
 	body []byte
 }
 
-// cut takes the first message from b. A length of 0 says that more bytes are needed.
-func cut(b []byte, started bool) (m message, n int, err error) {
+// cut takes the first message from b. A length of 0 says that more bytes are needed; one that will be too large is
+// known by its head.
+func cut(b []byte, started bool, most int) (m message, n int, err error) {
 	head := 4
 	if started {
 		head = 5
@@ -43,8 +43,8 @@
 		return m, 0, fmt.Errorf("start-up message of %d bytes", size)
 	case started && size < 4:
 		return m, 0, fmt.Errorf("message of %d bytes", size)
-	case started && size > mostMessage:
-		return m, 0, fmt.Errorf("message of %d bytes, %d at most", size, mostMessage)
+	case started && size > int64(most):
+		return m, 0, errTooLarge
 	}
 	n = int(size) + head - 4
 	if len(b) < n {
--- a/internal/pg/session.go
+++ b/internal/pg/session.go
@@ -3,16 +3,18 @@
 package pg
 
 import (
+	"container/list"
 	"encoding/binary"
 	"fmt"
-	"log"
 	"math"
 	"math/rand"
 	"strings"
 
 	"thymeway/internal/coordinator"
+	"thymeway/internal/deadline"
 	"thymeway/internal/link"
 	"thymeway/internal/sql"
+	"thymeway/internal/tally"
 )
 
 // Error codes of PostgreSQL. Classes 53 and 57P03 say that a new try is harmless: only what surely may be
@@ -20,6 +22,7 @@
 const (
 	codeRefused  = "53000" // insufficient_resources
 	codeTooMany  = "53300" // too_many_connections
+	codeLeaving  = "57P03" // cannot_connect_now
 	codeFailed   = "58000" // system_error
 	codeCanceled = "57014" // query_canceled
 	codeSyntax   = "42601" // syntax_error
@@ -28,22 +31,40 @@
 	codeTooLarge = "54000" // program_limit_exceeded
 )
 
+// Limits of what a session may take from the others, times in ms.
+const (
+	firstWithin = 2300.0  // from connecting to the first whole message, and for each later one from its first byte
+	faultsFree  = 4       // faulty messages in a row that are answered as fast as they come
+	faultPause  = 50.0    // after each further one: a client that repeats it at once would take the turns of others
+	mostFaults  = 64      // of them before the session is ended
+	mostATurn   = 32      // messages handled in one turn
+	mostUnread  = 1 << 20 // bytes that a client may leave unread
+	mostExcess  = 4       // sessions beyond Most that stay until they are told so
+)
+
 // Coordinator is the side that takes the requests.
 type Coordinator interface {
+	Check(r *coordinator.Request) error
 	Take(r *coordinator.Request)
 	Drop(r *coordinator.Request)
-	Knows(class string) bool
 }
 
 // Sessions are all sessions of the program.
 type Sessions struct {
 	Coordinator Coordinator
+	Deadlines   *deadline.Queue
+	Faults      *tally.Tally
 	Now         func() float64
 	Margin      float64 // ms by which an answer is due before the client's limit: the way back
-	Most        int     // sessions beyond these are refused
+	Most        int     // sessions beyond these push out those that rest, or are refused
+	MostInput   int     // bytes of a message, and of what waits behind an open query
 	Random      *rand.Rand
+	Leaving     bool // new queries are refused
 	open        map[uint32]*Session
 	count       int
+	// Sessions that may be closed without harm, the longest unused first: those that said nothing yet, and those
+	// that rest between two queries.
+	silent, resting list.List
 }
 
 // Pending is the number of bytes on their way to all clients that the system has not taken yet.
@@ -54,6 +75,20 @@
 	return n
 }
 
+// push closes a session that does no one any good now, if there is one. Danger: one whose bytes have come and were
+// not read yet has asked for something.
+func (a *Sessions) push() bool {
+	for _, l := range []*list.List{&a.silent, &a.resting} {
+		for e := l.Front(); e != nil; e = e.Next() {
+			if s := e.Value.(*Session); s.c.Quiet() {
+				s.close()
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Session is one client's connection.
 type Session struct {
 	all     *Sessions
@@ -64,10 +99,16 @@
 	busy    bool // messages are being handled
 	skip    bool // an extended query failed: messages are passed over up to its Sync
 	excess  bool
+	paused  bool // until again is due
+	faults  int  // in a row
 	pid     uint32
 	secret  uint32
 	req     *coordinator.Request
 	verb    string
+	in      *list.List // silent or resting
+	place   *list.Element
+	late    deadline.Entry // the end of the wait for a whole message
+	again   deadline.Entry // when messages are handled again
 }
 
 // Accept makes the object behind a new connection.
@@ -75,14 +116,40 @@
 	if a.open == nil {
 		a.open = map[uint32]*Session{}
 	}
-	return &Session{all: a}
+	s := &Session{all: a}
+	s.late.Do = func() { s.fatal("client-slow", codeProtocol, "no whole message in time") }
+	s.again.Do = func() {
+		s.paused = false
+		s.proceed()
+	}
+	return s
 }
 
 // Opened comes first.
 func (s *Session) Opened(c link.Conn) {
+	a := s.all
 	s.c = c
-	s.all.count++
-	s.excess = s.all.Most > 0 && s.all.count > s.all.Most
+	a.count++
+	if a.Most > 0 && a.count > a.Most && !a.push() {
+		s.excess = true
+		if a.count > a.Most+mostExcess { // danger: with no descriptor left, nobody could connect or be served
+			a.Faults.Add("client-excess", "sessions=%d", a.count)
+			s.close()
+			return
+		}
+	}
+	a.Deadlines.Set(&s.late, a.Now()+firstWithin)
+	s.rest(&a.silent)
+}
+
+// rest puts the session among those that may be closed; nil takes it out.
+func (s *Session) rest(l *list.List) {
+	if s.in != nil {
+		s.in.Remove(s.place)
+	}
+	if s.in = l; l != nil {
+		s.place = l.PushBack(s)
+	}
 }
 
 // Received takes bytes, however they are cut.
@@ -90,44 +157,82 @@
 	if s.closed {
 		return
 	}
+	s.rest(nil)
 	s.buf = append(s.buf, b...)
 	s.proceed()
 }
 
 // proceed handles the messages that have come whole. Those behind an open query wait for its answer.
 func (s *Session) proceed() {
-	if s.busy { // danger: an answer given at once would handle the same message again
+	if s.busy || s.closed { // danger: an answer given at once would handle the same message again
 		return
 	}
 	s.busy = true
 	defer func() { s.busy = false }()
-	used := 0
-	for s.req == nil && !s.closed {
-		m, n, err := cut(s.buf[used:], s.started)
+	a, used, whole := s.all, 0, true
+	for n := 0; s.req == nil && !s.closed && !s.paused; n++ {
+		if n == mostATurn { // danger: others wait for this turn to end
+			s.pause(0)
+			break
+		}
+		m, size, err := cut(s.buf[used:], s.started, a.MostInput)
 		if err != nil {
 			code := codeProtocol
-			if s.started && n == 0 && len(s.buf[used:]) >= 5 && binary.BigEndian.Uint32(s.buf[used+1:]) > mostMessage {
+			if s.started && err == errTooLarge {
 				code = codeTooLarge
 			}
-			s.fatal(code, err.Error())
+			s.fatal("client-garbled", code, err.Error())
 			return
 		}
-		if n == 0 {
+		if whole = size > 0; !whole {
 			break
 		}
-		used += n
-		if s.started {
-			s.message(m)
-		} else {
+		used += size
+		if !s.started {
 			s.startup(m)
+			continue
 		}
+		a.Deadlines.Clear(&s.late)
+		s.message(m)
 	}
-	s.buf = append(s.buf[:0], s.buf[used:]...)
-	if len(s.buf) > mostMessage+5 { // danger: a client that writes on and on behind an open query
-		s.fatal(codeTooLarge, fmt.Sprintf("over %d bytes behind an open query", mostMessage))
+	if s.closed {
+		return
 	}
-	if cap(s.buf) > 8192 && len(s.buf) == 0 {
+	s.buf = append(s.buf[:0], s.buf[used:]...)
+	switch {
+	case len(s.buf) > a.MostInput+5: // danger: a client that writes on and on behind an open query
+		s.fatal("client-garbled", codeTooLarge, fmt.Sprintf("over %d bytes behind an open query", a.MostInput))
+		return
+	case s.c.Pending() > mostUnread:
+		s.fatal("client-deaf", codeTooLarge, "answers are not read")
+		return
+	case len(s.buf) == 0:
 		s.buf = nil
+		if s.started && s.req == nil {
+			s.rest(&a.resting)
+		}
+	case !whole && !s.late.Waits():
+		a.Deadlines.Set(&s.late, a.Now()+firstWithin)
+	}
+}
+
+// pause puts the next message off.
+func (s *Session) pause(span float64) {
+	s.paused = true
+	s.all.Deadlines.Set(&s.again, s.all.Now()+span)
+}
+
+// fault answers a message that can't be used.
+func (s *Session) fault(code, text string) {
+	s.all.Faults.Add("client-fault", "code=%s error=%q", code, text)
+	if s.faults++; s.faults > mostFaults {
+		s.fail("FATAL", code, text)
+		s.close()
+		return
+	}
+	s.fail("ERROR", code, text)
+	if s.faults > faultsFree {
+		s.pause(faultPause)
 	}
 }
 
@@ -151,7 +256,7 @@
 		w.started(s.pid, s.secret)
 		s.c.Write(w.b)
 	default:
-		s.fatal(codeProtocol, fmt.Sprintf("unsupported protocol %d.%d", m.code>>16, m.code&0xffff))
+		s.fatal("client-garbled", codeProtocol, fmt.Sprintf("unsupported protocol %d.%d", m.code>>16, m.code&0xffff))
 	}
 }
 
@@ -176,7 +281,7 @@
 	case 'Q':
 		text, ok := strings.CutSuffix(string(m.body), "\x00")
 		if !ok || strings.IndexByte(text, 0) >= 0 {
-			s.fatal(codeProtocol, "query without its end")
+			s.fatal("client-garbled", codeProtocol, "query without its end")
 			return
 		}
 		s.query(text)
@@ -197,7 +302,7 @@
 		s.c.Write(w.b)
 	case 'd', 'c', 'f': // what is left of a copy, as PostgreSQL passes it over
 	default:
-		s.fatal(codeProtocol, fmt.Sprintf("unknown message %q", m.kind))
+		s.fatal("client-garbled", codeProtocol, fmt.Sprintf("unknown message %q", m.kind))
 	}
 }
 
@@ -210,12 +315,16 @@
 		return
 	}
 	r, limit, err := read(text)
-	if err == nil && !s.all.Coordinator.Knows(r.Class) {
-		err = fmt.Errorf("field verb: no class %q", r.Class)
+	if err == nil {
+		err = s.all.Coordinator.Check(r)
 	}
 	switch {
 	case err != nil:
-		s.fail("ERROR", codeSyntax, err.Error())
+		s.fault(codeSyntax, err.Error())
+		return
+	case s.all.Leaving:
+		s.fail("FATAL", codeLeaving, "the coordinator shuts down")
+		s.close()
 		return
 	case s.excess: // it never goes out, so a new try is harmless
 		s.fail("FATAL", codeTooMany, "too many connections, later=500")
@@ -224,7 +333,7 @@
 	}
 	r.Deadline = s.all.Now() + limit - math.Min(s.all.Margin, limit/2)
 	r.Client = s
-	s.req, s.verb = r, sql.Verb(r.Statement)
+	s.req, s.verb, s.faults = r, sql.Verb(r.Statement), 0
 	s.all.Coordinator.Take(r)
 }
 
@@ -269,9 +378,9 @@
 	s.proceed()
 }
 
-// fatal answers what can't be read, and ends the session.
-func (s *Session) fatal(code, text string) {
-	log.Printf("event=client-garbled code=%s error=%q", code, text)
+// fatal answers what can't be read, and ends the session. What still comes is not read.
+func (s *Session) fatal(event, code, text string) {
+	s.all.Faults.Add(event, "code=%s error=%q", code, text)
 	s.fail("FATAL", code, text)
 	s.close()
 }
@@ -293,8 +402,11 @@
 }
 
 func (s *Session) gone() {
-	s.closed = true
+	s.closed, s.buf = true, nil
 	s.all.count--
+	s.rest(nil)
+	s.all.Deadlines.Clear(&s.late)
+	s.all.Deadlines.Clear(&s.again)
 	if s.started {
 		delete(s.all.open, s.pid)
 	}
