Ask again for spoilt answers instead of running the query a second time

A trace of calls shows why: a result that parses but is no table was given up by attempt.garbled, which wrote the DELETE and ended the attempt in the same moment (rest/attempt.go), so the module sent the request again while the first run was out. Also found by reading: any byte behind a good answer threw the answer away (rest/reply.go take); a reset of a new connection counted as a refusal and so as a dead process (net/dial.go settle); a DELETE could overtake its POST on another connection; calls that waited for a descriptor were never given one that fell free, and blamed the engine; groups were never forgotten, and a reused address kept the old id's queries. Ruled out by the trace: good answers always name Page-Count or Page-No, and 500s are nearly all the answer to a poll whose query we deleted. Change: a spoilt answer ends its connection and is asked for again, a few times; then the DELETE is answered before the attempt ends. Pages are taken by number and checked whole. A connection is looked at before it is used again and pauses 4 ms behind a good answer. End gains Crowded and Lost.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -50,6 +50,7 @@
 // Engines runs attempts. Each Send and each Probe gets one Ended or Probed.
 type Engines interface {
 	Know(id, addr string, gone bool)
+	Only(named map[string]bool)
 	Send(a Attempt)
 	Cancel(request string, attempt int)
 	Probe(engine string)
@@ -157,10 +158,15 @@
 // List takes news of the engine list.
 func (c *Coordinator) List(whole bool, members []Member) {
 	l := choice.EngineList{Whole: whole}
+	named := map[string]bool{}
 	for _, m := range members {
+		named[m.ID] = true
 		c.engines.Know(m.ID, m.Addr, m.Status == choice.Removed)
 		l.Engines = append(l.Engines, m.Engine)
 	}
+	if whole {
+		c.engines.Only(named)
+	}
 	c.tell(l)
 }
 
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -14,8 +14,10 @@
 	Over                 // the worker group found its time over, and it never ran
 	Failed               // the worker group gave an error
 	Refused              // the other side refused the connection: no process listens
-	Unreached            // the connection did not come up in time, or there was no descriptor for it
+	Unreached            // the connection did not come up in time
+	Crowded              // there was no descriptor for a connection
 	Died                 // the connection broke and a new one was refused: the process died
+	Lost                 // the connection broke, and the worker group does not know the query
 	Silent               // no answer came in time
 	GivenUp              // called off
 	Hangup               // the other side closed the connection
@@ -25,7 +27,7 @@
 	Stopped              // closed by us
 )
 
-var names = [...]string{"served", "full", "over", "failed", "refused", "unreached", "died", "silent", "given-up",
+var names = [...]string{"served", "full", "over", "failed", "refused", "unreached", "crowded", "died", "lost", "silent", "given-up",
 	"hangup", "broken", "garbled", "idle", "stopped"}
 
 func (e End) String() string { return names[e] }
@@ -38,7 +40,7 @@
 		return choice.OK
 	case Full:
 		return choice.Full
-	case Over:
+	case Over, Crowded:
 		return choice.Moot
 	case Failed:
 		return choice.Error
@@ -49,7 +51,7 @@
 	case GivenUp, Idle, Stopped:
 		return choice.Cancelled
 	}
-	return choice.Reset // Died, Hangup, Broken, Garbled
+	return choice.Reset // Died, Lost, Hangup, Broken, Garbled
 }
 
 // Conn is an open connection. Neither call waits. A closed connection takes further calls and does nothing.
--- a/internal/net/dial.go
+++ b/internal/net/dial.go
@@ -128,8 +128,11 @@
 		}
 	} else {
 		_ = unix.Close(x.fd)
-		if code == int(unix.ECONNREFUSED) || code == int(unix.ECONNRESET) {
+		switch code { // danger: one that came up and was reset at once tells nothing of the process behind it
+		case int(unix.ECONNREFUSED):
 			e = link.Refused
+		case int(unix.ECONNRESET), int(unix.EPIPE):
+			e = link.Broken
 		}
 	}
 	d.l.run(func() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -41,12 +41,12 @@
 
 // New puts a coordinator together. wake must cause a turn soon: a sweep of the queue and a call of Turn.
 func New(c config.Config, d link.Dialer, queue *deadline.Queue, now func() float64, wake func()) (*Node, error) {
-	fleet := &rest.Fleet{Dialer: d, Deadlines: queue, Now: now, ConnectTimeout: c.ConnectTimeout,
+	faults := &tally.Tally{Now: now}
+	fleet := &rest.Fleet{Dialer: d, Deadlines: queue, Now: now, Faults: faults, ConnectTimeout: c.ConnectTimeout,
 		ConnIdle: c.ConnIdle * idleShare, MostWires: int(float64(c.Sockets) * engineShare)}
 	coord := coordinator.New(c.Choice, now, queue, fleet, wake)
 	fleet.Watcher = coord
 	clients := max(c.Sockets-fleet.MostWires-reserve, 1)
-	faults := &tally.Tally{Now: now}
 	n := &Node{Coordinator: coord, queue: queue, now: now, config: c,
 		Sessions: &pg.Sessions{Coordinator: coord, Deadlines: queue, Faults: faults, Now: now, Margin: answerMargin, Most: clients,
 			MostInput: min(max(int(c.MemoryMB*(1<<20)*inputShare)/clients, leastInput), mostInput),
--- a/internal/node/play_test.go
+++ b/internal/node/play_test.go
@@ -213,7 +213,8 @@
 	switch verb {
 	case "start":
 		send(append(binary.BigEndian.AppendUint32(binary.BigEndian.AppendUint32(nil, 17), 3<<16), "user\x00app\x00\x00"[:9]...))
-	case "query":
+	case "query": // a moment after what was before, as an engine's connection pauses after an answer
+		p.advance(p.now + 5)
 		send(packet("Q", rest+"\x00"))
 	case "flood": // COUNT QUERY
 		n, text, _ := strings.Cut(rest, " ")
@@ -238,6 +239,11 @@
 				s.h.Closed(e)
 			}
 		}
+	case "endless": // HEADER LINE, without an end
+		send([]byte("HTTP/1.1 200 OK\r\n"))
+		for i := 0; i < 100000 && !s.closed; i++ {
+			send([]byte(rest + "\r\n"))
+		}
 	case "reply": // STATUS header=value ... "body"
 		head, body, _ := strings.Cut(rest, ` "`)
 		if body != "" {
--- a/internal/rest/attempt.go
+++ b/internal/rest/attempt.go
@@ -2,9 +2,9 @@
 
 import (
 	"bytes"
-	"log"
 	"math"
 	"strconv"
+	"unicode/utf8"
 
 	"thymeway/choice"
 	"thymeway/internal/coordinator"
@@ -19,7 +19,11 @@
 	g         *group
 	sent      float64
 	askedAt   float64 // when a call that keeps the query alive was last written; 0: none was
-	call      *call   // the call under way
+	postedAt  float64
+	known     bool  // the worker group has shown that it has the query
+	broke     bool  // the connection of the POST ended without an answer
+	spoilt    int   // answers in a row that can't be used
+	call      *call // the call under way
 	cancelled bool
 	over      bool
 	ended     coordinator.Outcome
@@ -37,6 +41,7 @@
 		return
 	}
 	a.f.attempts[key{a.ID, a.Number}] = a
+	a.g.attempts++
 	a.budget.Do = func() {
 		switch {
 		case a.askedAt == 0: // it was never written
@@ -64,6 +69,7 @@
 		return nil
 	}
 	a.askedAt = a.f.Now()
+	a.postedAt = a.askedAt
 	h := []string{"X-Hop-Id", a.ID, "X-Sort", a.Class, "X-Budget", strconv.Itoa(int(left))}
 	if a.Idem != "" {
 		h = append(h, "X-Replay-Key", a.Idem)
@@ -90,6 +96,7 @@
 	case a.askedAt == 0:
 		a.finish(e)
 	default:
+		a.broke = true
 		a.askIn(quickPause)
 	}
 }
@@ -123,79 +130,96 @@
 	}
 	switch {
 	case r.status == 202:
+		a.known, a.spoilt = true, 0
 		kind, known := notes[r.tell]
 		a.ask()
 		if known {
 			a.f.Watcher.Noted(a.ID, a.Engine, a.Number, kind, r.figure)
 		}
-	case r.status == 200:
+	case r.status == 200 && r.pages > 0 && r.pages <= mostPages && rows(r.body, r.pages == 1):
 		a.ended.Took = a.f.Now() - a.sent // the pages' way is ours and says nothing of the worker group
 		a.ended.Work, a.ended.Mem = r.work, r.peak
-		if r.pages > mostPages {
-			a.garbled("pages", r.pages)
-			return
-		}
 		a.ended.Pages = make([][]byte, r.pages)
 		a.page(0, r)
 	case r.status == 503 && r.noEffect:
 		a.finish(link.Full)
 	case r.status == 504 && r.noEffect:
 		a.finish(link.Over)
-	default:
+	case r.status == 500 && a.broke && !a.known:
+		a.finish(link.Lost)
+	case r.status/100 == 5:
 		a.finish(link.Failed)
+	default:
+		a.askAnew("result", r)
 	}
 }
 
-// page takes a page and asks for the next. Nothing goes to the client before all are here: what can't be
-// finished may then still be tried elsewhere.
-func (a *attempt) page(n int, r *reply) {
-	if n > 0 && (r.status != 200 || r.page >= 0 && r.page != n) || !rows(r.body) {
-		if r.status != 200 {
-			a.finish(link.Failed)
-		} else {
-			a.garbled("page", n)
-		}
+// askAnew asks for the news again, as what came is spoilt: the query has run, and its worker group gives the answer
+// again. Danger: a new attempt would run it twice, and this one might still be out.
+func (a *attempt) askAnew(what string, r *reply) {
+	a.f.Faults.Add("engine-spoilt", "engine=%s what=%s status=%d bytes=%d", a.Engine, what, r.status, len(r.body))
+	a.g.spoil()
+	if a.spoilt++; a.spoilt > mostSpoilt {
+		a.revoke(link.Garbled)
 		return
 	}
+	a.askIn(quickPause)
+}
+
+// page takes a page that can be used and asks for the next. Nothing goes to the client before all are here: what
+// can't be finished may then still be tried elsewhere.
+func (a *attempt) page(n int, r *reply) {
 	a.ended.Pages[n] = r.body
-	if n+1 == len(a.ended.Pages) {
-		if size(a.ended.Pages) > mostResult {
-			a.garbled("bytes", size(a.ended.Pages))
-			return
-		}
-		a.finish(link.Served)
+	a.known, a.spoilt = true, 0
+	if n+1 < len(a.ended.Pages) {
+		a.fetch(n + 1)
+		return
+	}
+	if size(a.ended.Pages) > mostResult {
+		a.askAnew("size", r)
 		return
 	}
-	a.fetch(n+1, 0)
+	a.finish(link.Served)
 }
 
-func (a *attempt) fetch(n, tries int) {
+func (a *attempt) fetch(n int) {
+	again := func(e link.End) {
+		if a.spoilt++; a.spoilt > mostSpoilt {
+			a.finish(e)
+			return
+		}
+		a.again.Do = func() { a.fetch(n) }
+		a.f.Deadlines.Set(&a.again, a.f.Now()+quickPause)
+	}
 	a.start(func() []byte { return a.get(n) }, callWithin, func(r *reply, e link.End) {
 		switch {
-		case r != nil:
-			a.page(n, r)
 		case e == link.Refused:
 			a.finish(link.Died)
-		case tries >= 3:
-			a.finish(link.Broken)
+		case r == nil:
+			again(link.Broken)
+		case r.status == 200 && r.page == n && rows(r.body, false):
+			a.page(n, r)
+		case r.status/100 == 5: // the page is lost
+			a.finish(link.Failed)
 		default:
-			a.again.Do = func() { a.fetch(n, tries+1) }
-			a.f.Deadlines.Set(&a.again, a.f.Now()+quickPause)
+			a.f.Faults.Add("engine-spoilt", "engine=%s what=page status=%d bytes=%d", a.Engine, r.status, len(r.body))
+			a.g.spoil()
+			again(link.Garbled)
 		}
 	})
 }
 
-func (a *attempt) garbled(what string, n int) {
-	log.Printf("event=engine-result-garbled engine=%s %s=%d", a.Engine, what, n)
-	a.delete(nil)
-	a.finish(link.Garbled)
-}
-
-// rows tells whether a page holds whole rows of three columns.
-func rows(b []byte) bool {
+// rows tells whether a page holds whole rows of three columns of text. Only a result of one page may have none.
+func rows(b []byte, only bool) bool {
+	if len(b) == 0 {
+		return only
+	}
+	if !utf8.Valid(b) {
+		return false
+	}
 	for len(b) > 0 {
 		i := bytes.IndexByte(b, '\n')
-		if i < 0 || bytes.Count(b[:i], []byte("\t")) != 2 {
+		if i < 0 || bytes.Count(b[:i], []byte("\t")) != 2 || bytes.IndexByte(b[:i], 0) >= 0 {
 			return false
 		}
 		b = b[i+1:]
@@ -226,22 +250,29 @@
 		a.finish(link.GivenUp)
 		return
 	}
-	a.lapse.Do = func() { a.finish(link.GivenUp) }
-	a.f.Deadlines.Set(&a.lapse, math.Min(a.askedAt+unasked, a.Until)+unaskedSlack)
-	a.revoke()
+	a.revoke(link.GivenUp)
 }
 
-func (a *attempt) revoke() {
-	a.delete(func(r *reply, e link.End) {
-		switch {
-		case a.over:
-		case r != nil || e == link.Refused:
-			a.finish(link.GivenUp)
-		default:
-			a.again.Do = a.revoke
-			a.f.Deadlines.Set(&a.again, a.f.Now()+quickPause)
-		}
-	})
+// revoke has the query deleted and ends the attempt once it is known to be over.
+func (a *attempt) revoke(e link.End) {
+	a.lapse.Do = func() { a.finish(e) }
+	a.f.Deadlines.Set(&a.lapse, math.Min(a.askedAt+unasked, a.Until)+unaskedSlack)
+	a.again.Do = func() {
+		a.delete(func(r *reply, end link.End) {
+			switch {
+			case a.over:
+			case r != nil && (r.status/100 == 2 || r.status/100 == 5) || end == link.Refused: // deleted, or not known
+				a.finish(e)
+			default:
+				a.f.Deadlines.Set(&a.again, a.f.Now()+quickPause)
+			}
+		})
+	}
+	if at := a.postedAt + sendApart; at > a.f.Now() {
+		a.f.Deadlines.Set(&a.again, at)
+		return
+	}
+	a.again.Do()
 }
 
 // delete tells the worker group that the query is given up.
@@ -258,7 +289,11 @@
 		return
 	}
 	a.over = true
-	delete(a.f.attempts, key{a.ID, a.Number})
+	if k := (key{a.ID, a.Number}); a.f.attempts[k] == a {
+		delete(a.f.attempts, k)
+		a.g.attempts--
+		defer a.f.forget(a.g)
+	}
 	for _, t := range []*deadline.Entry{&a.budget, &a.again, &a.lapse} {
 		a.f.Deadlines.Clear(t)
 	}
--- a/internal/rest/fleet.go
+++ b/internal/rest/fleet.go
@@ -9,6 +9,7 @@
 	"thymeway/internal/coordinator"
 	"thymeway/internal/deadline"
 	"thymeway/internal/link"
+	"thymeway/internal/tally"
 )
 
 // Limits and pauses, in ms.
@@ -20,6 +21,10 @@
 	unaskedSlack = 100.0  // for the way there
 	retryPause   = 150.0  // between two tries to reach a silent worker group
 	quickPause   = 20.0   // before asking again after a broken connection
+	extraWithin  = 4.0    // after a good answer, for bytes behind it to come before the connection is used again
+	sendApart    = 30.0   // between a POST and the DELETE of its query on another connection, which must not overtake it
+	mostBroken   = 4      // connections in a row that are reset as they come up, before a call hears of it
+	mostSpoilt   = 8      // spoilt answers in a row before a query is given up
 	mostPages    = 64
 	mostResult   = 48000 // bytes of a whole result
 )
@@ -37,11 +42,14 @@
 	Deadlines      *deadline.Queue
 	Now            func() float64
 	Watcher        Watcher
+	Faults         *tally.Tally
 	ConnectTimeout float64
 	ConnIdle       float64 // for which an unused connection is kept
 	MostWires      int     // connections to all worker groups
 
 	groups   map[string]*group
+	order    []*group          // in the order in which they were named
+	at       map[string]*group // by address
 	attempts map[key]*attempt
 	wires    int
 }
@@ -54,25 +62,61 @@
 // Know takes an entry of the list: where a worker group is, or that it has gone.
 func (f *Fleet) Know(id, addr string, gone bool) {
 	if f.groups == nil {
-		f.groups, f.attempts = map[string]*group{}, map[key]*attempt{}
+		f.groups, f.at, f.attempts = map[string]*group{}, map[string]*group{}, map[key]*attempt{}
 	}
 	g := f.groups[id]
 	if g == nil {
+		if gone {
+			return
+		}
 		g = &group{f: f, id: id}
-		f.groups[id] = g
-	}
-	if addr != "" && addr != g.addr || gone {
-		// Danger: a new worker group may have the address of one that has gone.
-		for _, w := range append([]*wire(nil), g.idle...) {
-			w.unidle()
-			w.c.Close()
-			f.wires--
+		f.groups[id], f.order = g, append(f.order, g)
+	}
+	if addr != "" && addr != g.addr {
+		// Danger: a new worker group may have the address of one that has gone. It must get none of its
+		// connections and queries.
+		if o := f.at[addr]; o != nil {
+			o.addr = ""
+			o.leave()
+			for len(o.waiting) > 0 {
+				o.fail(o.waiting[0], link.Refused)
+			}
+		}
+		if f.at[g.addr] == g {
+			delete(f.at, g.addr)
+		}
+		g.leave()
+		g.addr, f.at[addr] = addr, g
+	}
+	if g.gone = gone; gone {
+		g.leave()
+		f.forget(g)
+	}
+}
+
+// Only takes a whole list: worker groups that it does not name have gone.
+func (f *Fleet) Only(named map[string]bool) {
+	for _, g := range append([]*group(nil), f.order...) {
+		if !named[g.id] && !g.gone {
+			f.Know(g.id, "", true)
 		}
 	}
-	if addr != "" {
-		g.addr = addr
+}
+
+// forget drops a worker group that has gone, once nothing of it is left.
+func (f *Fleet) forget(g *group) {
+	if !g.gone || g.wires > 0 || g.attempts > 0 || len(g.waiting) > 0 || f.groups[g.id] != g {
+		return
+	}
+	delete(f.groups, g.id)
+	if f.at[g.addr] == g {
+		delete(f.at, g.addr)
+	}
+	for i, x := range f.order {
+		if x == g {
+			f.order = append(f.order[:i:i], f.order[i+1:]...)
+		}
 	}
-	g.gone = gone
 }
 
 // room tells whether one more connection may be opened, and closes an idle one elsewhere if that makes room.
@@ -81,8 +125,8 @@
 		return true
 	}
 	var most *group
-	for _, g := range f.groups {
-		if most == nil || len(g.idle) > len(most.idle) || len(g.idle) == len(most.idle) && g.id < most.id {
+	for _, g := range f.order {
+		if most == nil || len(g.idle) > len(most.idle) {
 			most = g
 		}
 	}
@@ -92,10 +136,17 @@
 	w := most.idle[0]
 	w.unidle()
 	w.c.Close()
-	f.wires--
+	w.off()
 	return true
 }
 
+// serve opens connections for calls that wait where there was no room for one.
+func (f *Fleet) serve() {
+	for _, g := range f.order {
+		g.dial()
+	}
+}
+
 // Send starts an attempt.
 func (f *Fleet) Send(s coordinator.Attempt) {
 	a := &attempt{Attempt: s, f: f, g: f.groups[s.Engine], sent: f.Now()}
--- a/internal/rest/pool.go
+++ b/internal/rest/pool.go
@@ -1,66 +1,88 @@
 package rest
 
 import (
-	"log"
-
 	"thymeway/internal/deadline"
 	"thymeway/internal/link"
 )
 
 // call is one call to a worker group. done comes once, unless the call is dropped.
 type call struct {
-	g       *group
-	build   func() []byte // the bytes, made when they are written; nil calls it off
-	within  float64       // ms for the answer, from when the call is written
-	done    func(r *reply, e link.End)
-	written bool
-	wire    *wire          // what it was written to
-	timer   deadline.Entry // for a connection, then for the answer
+	g      *group
+	build  func() []byte // the bytes, made when they are written; nil calls it off
+	within float64       // ms for the answer, from when the call is written
+	done   func(r *reply, e link.End)
+	timer  deadline.Entry // for a connection, then for the answer
 }
 
 // group is a worker group's connections and the calls that wait for one.
 type group struct {
-	f       *Fleet
-	id      string
-	addr    string
-	gone    bool
-	idle    []*wire // the last used last
-	waiting []*call // in the order in which they came
-	dialing int
+	f        *Fleet
+	id       string
+	addr     string // empty once another worker group has it
+	gone     bool
+	idle     []*wire // the last used last
+	held     *wire   // whose answer is being taken
+	waiting  []*call // in the order in which they came
+	dialing  int
+	pausing  int // connections that will be free in a moment
+	wires    int // connections, those on their way too
+	broken   int // connections in a row that were reset as they came up
+	attempts int
 }
 
 // wire is a connection to a worker group.
 type wire struct {
-	g      *group
-	addr   string
-	c      link.Conn
-	parser parser
-	call   *call
-	timer  deadline.Entry // closes it when idle for long
+	g       *group
+	addr    string
+	c       link.Conn
+	parser  parser
+	call    *call
+	pausing bool
+	timer   deadline.Entry // ends its pause, or closes it when idle for long
 }
 
 // start writes a call to an idle connection, or waits for one that comes up or falls free.
 func (g *group) start(c *call) {
 	c.g = g
-	if n := len(g.idle); n > 0 {
-		w := g.idle[n-1]
-		g.idle = g.idle[:n-1]
+	if g.addr == "" { // its process has ended: another one listens there
+		c.done(nil, link.Refused)
+		return
+	}
+	if w := g.held; w != nil {
+		g.held = nil
 		w.write(c)
 		return
 	}
-	c.timer.Do = func() { g.fail(c, link.Unreached) }
+	for n := len(g.idle); n > 0; n = len(g.idle) {
+		w := g.idle[n-1]
+		w.unidle()
+		// Danger: what came since, a reset or bytes that belong to no call, would spoil this one.
+		if w.c.Quiet() {
+			w.write(c)
+			return
+		}
+		w.close()
+	}
+	c.timer.Do = func() {
+		e := link.Unreached
+		if g.dialing == 0 {
+			e = link.Crowded
+		}
+		g.fail(c, e)
+	}
 	g.f.Deadlines.Set(&c.timer, g.f.Now()+g.f.ConnectTimeout)
 	g.waiting = append(g.waiting, c)
-	if g.dialing < len(g.waiting) {
-		g.dial()
-	}
+	g.dial()
 }
 
+// dial opens a connection for a call that waits and has none on its way, if there is room for one. Else the call
+// takes one that falls free, or runs out of time.
 func (g *group) dial() {
-	if !g.f.room() {
-		return // the call takes a connection that falls free, or runs out of time
+	if g.dialing+g.pausing >= len(g.waiting) || !g.f.room() {
+		return
 	}
 	g.dialing++
+	g.wires++
 	g.f.wires++
 	g.f.Dialer.Dial(g.addr, &wire{g: g, addr: g.addr})
 }
@@ -84,6 +106,15 @@
 	return false
 }
 
+// leave makes nothing of the group's be used any more: it has gone, or another one has its address.
+func (g *group) leave() {
+	for len(g.idle) > 0 {
+		w := g.idle[0]
+		w.unidle()
+		w.close()
+	}
+}
+
 // drop makes a call come to nothing. What was written is answered on its connection, and nobody looks.
 func (c *call) drop() {
 	if !c.g.forget(c) {
@@ -93,29 +124,41 @@
 
 func (w *wire) write(c *call) {
 	f := w.g.f
-	f.Deadlines.Clear(&w.timer)
 	b := c.build()
 	if b == nil {
-		w.rest()
+		w.rest(0)
 		c.done(nil, link.Unreached)
 		return
 	}
-	w.call, c.written, c.wire = c, true, w
+	w.call = c
 	c.timer.Do = func() {
 		// Danger: a machine that is cut off keeps its connections open and says nothing.
-		w.c.Close()
+		w.close()
 		w.end(link.Silent)
 	}
 	f.Deadlines.Set(&c.timer, f.Now()+c.within)
 	w.c.Write(b)
 }
 
-// rest takes the next call, or waits for one.
-func (w *wire) rest() {
+// rest takes the next call after a pause, or waits for one.
+func (w *wire) rest(pause float64) {
 	g := w.g
 	if g.gone || w.addr != g.addr {
-		w.c.Close()
-		g.f.wires--
+		w.close()
+		return
+	}
+	if pause > 0 {
+		w.pausing = true
+		g.pausing++
+		w.timer.Do = func() {
+			w.awake()
+			if w.c.Quiet() {
+				w.rest(0)
+			} else {
+				w.close()
+			}
+		}
+		g.f.Deadlines.Set(&w.timer, g.f.Now()+pause)
 		return
 	}
 	if len(g.waiting) > 0 {
@@ -126,43 +169,71 @@
 	}
 	g.idle = append(g.idle, w)
 	w.timer.Do = func() {
-		if w.unidle() {
-			w.c.Close()
-			g.f.wires--
-		}
+		w.unidle()
+		w.close()
 	}
 	g.f.Deadlines.Set(&w.timer, g.f.Now()+g.f.ConnIdle)
+	g.f.serve()
 }
 
-func (w *wire) unidle() bool {
+// awake ends the pause.
+func (w *wire) awake() {
+	if w.pausing {
+		w.pausing = false
+		w.g.pausing--
+	}
+}
+
+func (w *wire) unidle() {
 	w.g.f.Deadlines.Clear(&w.timer)
 	for i, x := range w.g.idle {
 		if x == w {
 			w.g.idle = append(w.g.idle[:i:i], w.g.idle[i+1:]...)
-			return true
+			return
 		}
 	}
-	return false
+}
+
+// close ends an open connection from our side.
+func (w *wire) close() {
+	w.c.Close()
+	w.gone()
+}
+
+// gone lets others have the place of a connection that is none any more.
+func (w *wire) gone() {
+	w.off()
+	w.g.f.serve()
+	w.g.f.forget(w.g)
+}
+
+func (w *wire) off() {
+	w.awake()
+	w.g.f.Deadlines.Clear(&w.timer)
+	w.g.wires--
+	w.g.f.wires--
 }
 
 // Opened comes when the connection is up.
 func (w *wire) Opened(c link.Conn) {
 	w.g.dialing--
 	w.c = c
-	w.rest()
+	w.rest(0)
 }
 
 // Received takes a part of an answer.
 func (w *wire) Received(b []byte) {
-	var r *reply
-	var err error
-	if w.call != nil {
-		r, err = w.parser.take(b)
-	}
-	if err != nil || w.call == nil {
-		log.Printf("event=engine-garbled engine=%s addr=%s bytes=%d err=%q", w.g.id, w.addr, len(b), errText(err))
-		w.c.Close()
+	f := w.g.f
+	if w.call == nil {
+		f.Faults.Add("engine-unasked", "engine=%s addr=%s bytes=%d", w.g.id, w.addr, len(b))
 		w.unidle()
+		w.close()
+		return
+	}
+	r, err := w.parser.take(b)
+	if err != nil {
+		f.Faults.Add("engine-garbled", "engine=%s addr=%s bytes=%d error=%q", w.g.id, w.addr, len(b), err)
+		w.close()
 		w.end(link.Garbled)
 		return
 	}
@@ -171,47 +242,59 @@
 	}
 	c := w.call
 	w.call = nil
-	w.g.f.Deadlines.Clear(&c.timer)
+	f.Deadlines.Clear(&c.timer)
+	w.g.broken = 0
 	if r.close {
-		w.c.Close()
-		w.g.f.wires--
+		w.close()
+		c.done(r, link.Served)
+		return
 	}
 	// The answer goes first: what it asks next goes to this connection, and not to a new one.
-	if !r.close {
-		w.rest()
-	}
+	w.g.held = w
 	c.done(r, link.Served)
+	if w.g.held != w {
+		return
+	}
+	w.g.held = nil
+	if r.status == 200 { // danger: a second copy of it may follow, and would be read as the next answer
+		w.rest(extraWithin)
+	} else {
+		w.rest(0)
+	}
 }
 
-func errText(err error) string {
-	if err == nil {
-		return "bytes that no call asked for"
+// spoil ends the connection whose answer is being taken: it is of no further use.
+func (g *group) spoil() {
+	if w := g.held; w != nil {
+		g.held = nil
+		w.close()
 	}
-	return err.Error()
 }
 
 // Closed comes when the connection ends by itself, or did not come up.
 func (w *wire) Closed(e link.End) {
-	if w.c == nil {
-		w.g.dialing--
-		w.g.f.wires--
-		// The first in line stands for those that this connection was opened for.
-		if g := w.g; len(g.waiting) > g.dialing && len(g.waiting) > 0 {
-			if w.addr != g.addr { // it has moved meanwhile
-				g.dial()
-				return
-			}
+	if w.c != nil {
+		w.unidle()
+		w.gone()
+		w.end(e)
+		return
+	}
+	g := w.g
+	g.dialing--
+	w.off()
+	// The first in line stands for those that this connection was opened for.
+	if len(g.waiting) > g.dialing && w.addr == g.addr {
+		// One that was reset as it came up tells nothing of the worker group: another one is opened.
+		if g.broken++; e == link.Refused || e == link.Unreached || g.broken > mostBroken {
 			g.fail(g.waiting[0], e)
 		}
-		return
 	}
-	w.unidle()
-	w.end(e)
+	g.f.serve()
+	g.f.forget(g)
 }
 
-// end is the end of an open connection, whoever caused it.
+// end tells the call of a connection that has ended.
 func (w *wire) end(e link.End) {
-	w.g.f.wires--
 	if c := w.call; c != nil {
 		w.call = nil
 		w.g.f.Deadlines.Clear(&c.timer)
--- a/internal/rest/reply.go
+++ b/internal/rest/reply.go
@@ -13,15 +13,17 @@
 
 // Limits of what a worker group may write in one answer.
 const (
-	mostHead = 16 << 10
-	mostBody = 64 << 10
+	mostHead    = 16 << 10
+	mostBody    = 64 << 10
+	mostInterim = 16      // answers with a status of 1xx ahead of one
+	mostKept    = 8 << 10 // bytes of room that a resting connection keeps
 )
 
 // reply is one answer of a worker group.
 type reply struct {
 	status   int
 	noEffect bool
-	pages    int // Page-Count, 1 if absent
+	pages    int // Page-Count, 0 if absent
 	page     int // Page-No, -1 if absent
 	tell     string
 	figure   float64
@@ -34,13 +36,14 @@
 
 // parser takes the bytes of a connection as they come and gives whole answers.
 type parser struct {
-	buf []byte
+	buf     []byte
+	interim int
 }
 
 var errShort = errors.New("more bytes are needed")
 
-// take adds bytes and gives the answer that they complete. Nothing may stand behind it: one call goes at a time,
-// so a further byte is one that nobody asked for.
+// take adds bytes and gives the answer that they complete. One call goes at a time, so a further byte belongs to
+// none: the answer is good, and the connection is of no further use.
 func (p *parser) take(b []byte) (*reply, error) {
 	p.buf = append(p.buf, b...)
 	for {
@@ -52,13 +55,17 @@
 			return nil, err
 		}
 		if r.status/100 == 1 { // an interim answer: the real one follows
+			if p.interim++; p.interim > mostInterim || r.status == 101 {
+				return nil, fmt.Errorf("status %d", r.status)
+			}
 			p.buf = append(p.buf[:0], p.buf[n:]...)
 			continue
 		}
-		if n < len(p.buf) {
-			return nil, fmt.Errorf("%d bytes behind the answer", len(p.buf)-n)
+		r.close = r.close || n < len(p.buf)
+		p.interim = 0
+		if p.buf = p.buf[:0]; cap(p.buf) > mostKept {
+			p.buf = nil
 		}
-		p.buf = p.buf[:0]
 		return r, nil
 	}
 }
@@ -73,7 +80,7 @@
 		return nil, 0, errShort
 	}
 	lines := strings.Split(string(b[:end]), "\r\n")
-	r := &reply{pages: 1, page: -1}
+	r := &reply{page: -1}
 	version, rest, _ := strings.Cut(lines[0], " ")
 	code, _, _ := strings.Cut(rest, " ")
 	var err error
@@ -95,6 +102,8 @@
 	switch {
 	case r.status == 204 || r.status == 304 || r.status/100 == 1:
 		return r, n, nil
+	case chunked && length >= 0:
+		return nil, 0, errors.New("an answer with two lengths")
 	case chunked:
 		body, used, err := chunks(b[n:])
 		r.body = body
@@ -111,8 +120,11 @@
 func (r *reply) header(name, value string, length *int, chunked *bool) (err error) {
 	switch name {
 	case "content-length":
+		before := *length
 		if *length, err = whole(value); err == nil && *length > mostBody {
 			err = fmt.Errorf("%d is over %d", *length, mostBody)
+		} else if err == nil && before >= 0 && before != *length {
+			err = fmt.Errorf("%d and %d", before, *length)
 		}
 	case "transfer-encoding":
 		if *chunked = strings.EqualFold(value, "chunked"); !*chunked {
