Move queries that stand still behind a load, scarce places or not

Checked: the engines' cores are half busy meanwhile, so it is the held table groups. Change: blocked() runs for each such note; giving a place up stays with scarce ones.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -358,7 +358,7 @@
 	switch wait := f.lockWait(); {
 	case best < wait && q.sends < f.s.MaxAttempts && f.rationed():
 		f.cancel(a)
-	case !f.earns(q, wait):
+	case f.scarce() && !f.earns(q, wait):
 		f.cancel(a)
 		f.giveUp(q)
 	}
@@ -883,7 +883,7 @@
 				q.c.grant *= math.Pow(bound(1+n.Level/q.Mem/q.c.grant, clip), grantUp)
 			}
 			a.e.heard, a.noted, a.spilt = f.now, true, a.spilt || n.Kind == NoteSpill
-			if n.Kind == NoteWait && n.Level == 2 && f.scarce() {
+			if n.Kind == NoteWait && n.Level == 2 {
 				f.blocked(a)
 			}
 			if n.Kind == NoteProgress { // only these come at a steady pace
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -880,3 +880,30 @@
 		}
 	}
 }
+
+// What stands still behind a load goes elsewhere at once, whether or not places are scarce; with nowhere to go it
+// stays.
+func TestStandingStillMoves(t *testing.T) {
+	for _, engines := range []int{1, 2} {
+		f := New(Settings{Fronts: 1, MaxAttempts: 6, CanCancel: true, NotePeriod: 1000, Classes: []Class{
+			{Name: "lookup", Worth: 1, LateWorth: 0.1, Aim: 600, Threads: 1, Waits: true},
+			{Name: "load", Worth: 15, LateWorth: 0.6, Aim: 4000, Threads: 2, Load: true, Effect: Keyed, Window: 12000}}}, 1000)
+		f.Step(1000, []Event{EngineList{Whole: true, Engines: []Engine{{ID: "e1"}, {ID: "e2"}}[:engines]}})
+		on := sends(f.Step(1010, []Event{Request{ID: "s", Class: "lookup", Deadline: 4000, Work: 5, Tables: "2"}}))[0].Engine
+		moved := false
+		for _, a := range f.Step(1012, []Event{Note{Request: "s", Engine: on, Kind: NoteWait, Level: 2}}) {
+			_, cancel := a.(Cancel)
+			moved = moved || cancel
+		}
+		if moved != (engines == 2) {
+			t.Errorf("%d engines: moved %v", engines, moved)
+			continue
+		}
+		if engines == 2 {
+			acts := f.Step(1014, []Event{Outcome{Request: "s", Engine: on, Result: Cancelled, Took: 4}})
+			if s := sends(acts); len(s) != 1 || s[0].Engine == on {
+				t.Errorf("sent on as %v", s)
+			}
+		}
+	}
+}
