Tell a connection that is reset as it comes up as broken, not lose it in a panic

Cause: a connection that came up and was reset at once has no far address; gnet's enroll dereferences it on its own goroutine, which dies, and dial.go enroll took the closed channel for success. The connection was told neither as open nor as closed, so its group counted one on its way for ever (rest/pool.go dialing), opened none for a call that waits alone, and the engine was blamed for the time-out. Change: a connection without a far side is told as broken; a dead enrolment too; missing descriptors as crowded. Test: net TestDial settles such a socket; it hung before.

--- a/internal/net/dial.go
+++ b/internal/net/dial.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	stdnet "net"
 	"net/netip"
 	"os"
@@ -42,12 +43,22 @@
 func (l *Loop) Dial(addr string, h link.Handler) {
 	c := &conn{l: l, h: h}
 	if err := l.dialer.start(addr, c); err != nil {
-		e := link.Unreached
-		if err == unix.ECONNREFUSED {
-			e = link.Refused
-		}
-		l.put(func() { h.Closed(e) })
+		l.put(func() { h.Closed(failure(err)) })
+	}
+}
+
+// failure is the system's word on a connection that did not come up.
+func failure(err error) link.End {
+	switch {
+	case errors.Is(err, unix.ECONNREFUSED):
+		return link.Refused
+	case errors.Is(err, unix.EMFILE), errors.Is(err, unix.ENFILE):
+		return link.Crowded
+	// Danger: one that came up and was reset at once tells nothing of the process behind it.
+	case errors.Is(err, unix.ECONNRESET), errors.Is(err, unix.EPIPE), errors.Is(err, unix.ENOTCONN):
+		return link.Broken
 	}
+	return link.Unreached
 }
 
 func (d *dialer) start(addr string, c *conn) error {
@@ -119,25 +130,19 @@
 
 func (d *dialer) settle(x *dialling) {
 	_ = unix.EpollCtl(d.poll, unix.EPOLL_CTL_DEL, x.fd, nil)
-	e := link.Unreached
 	code, err := unix.GetsockoptInt(x.fd, unix.SOL_SOCKET, unix.SO_ERROR)
-	if err == nil && code == 0 {
-		if err = d.enroll(x); err == nil {
-			d.l.run(func() { d.l.Deadlines.Clear(&x.timer) })
-			return
-		}
-	} else {
+	if err == nil && code != 0 {
+		err = unix.Errno(code)
+	}
+	if err != nil {
 		_ = unix.Close(x.fd)
-		switch code { // danger: one that came up and was reset at once tells nothing of the process behind it
-		case int(unix.ECONNREFUSED):
-			e = link.Refused
-		case int(unix.ECONNRESET), int(unix.EPIPE):
-			e = link.Broken
-		}
+	} else if err = d.enroll(x); err == nil {
+		d.l.run(func() { d.l.Deadlines.Clear(&x.timer) })
+		return
 	}
 	d.l.run(func() {
 		d.l.Deadlines.Clear(&x.timer)
-		x.c.h.Closed(e)
+		x.c.h.Closed(failure(err))
 		d.l.Wake()
 	})
 }
@@ -148,12 +153,20 @@
 	if err != nil {
 		return err
 	}
+	if c.RemoteAddr() == nil { // danger: gnet takes it that there is one
+		_ = c.Close()
+		return unix.ENOTCONN
+	}
 	res, err := (*d.l.el.Load()).Enroll(gnet.NewContext(context.Background(), x.c), c)
 	if err != nil {
 		_ = c.Close()
 		return err
 	}
-	return (<-res).Err
+	r := <-res
+	if r.Err == nil && r.Conn == nil { // the goroutine that should have enrolled it has died
+		return unix.ENOTCONN
+	}
+	return r.Err
 }
 
 // fileConn makes a connection of the library's kind of a socket, and takes the socket over.
--- a/internal/net/loop_test.go
+++ b/internal/net/loop_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"thymeway/internal/deadline"
 	"thymeway/internal/link"
 )
@@ -69,6 +71,14 @@
 	bad := &probe{got: make(chan string, 2)}
 	l.Do(func() { l.Dial("nowhere", bad) })
 	wait(bad.got, "unreached")
+	// Danger: a connection that is reset as it comes up has no far side any more. It has to be told as ended.
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	gone := &probe{got: make(chan string, 2)}
+	go l.dialer.settle(&dialling{fd: fd, c: &conn{l: l, h: gone}})
+	wait(gone.got, "broken")
 	l.Do(l.Stop)
 	select {
 	case err := <-ended:
