Scale the module's short times by the class limits; take no reset for a restart

Ruled out: hung engines, failed connects (none once resets no longer count). The margin of an answer is a tenth of the limit at most. An answer that has begun has 60 ms to be whole; the first question after a break goes out at once.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -14,7 +14,7 @@
 	warmFor      = 30000.0 // ms: a table group counts as warm where we sent it this lately (1)
 	alpha        = 0.8     // share: warm must promise less than this much of the best fallback time (3)
 	beta         = 0.2     // share of the time to the deadline kept as safety margin (5)
-	checkEvery   = 100.0   // ms: longest time between checks of what is held (4)
+	checkEvery   = 100.0   // ms: longest time between checks of what is held (4); scaled, see pace
 	threadsACore = 2.0     // threads a core, over all fronts, up to which an engine has room (4)
 	// Ours: predictor.
 	learnFactor  = 0.15    // weight of one outcome in an engine's factor
@@ -144,7 +144,7 @@
 	f.meanOutAt = now
 	full := now >= f.sweepAt
 	if full {
-		f.sweepAt = now + checkEvery
+		f.sweepAt = now + f.checkEvery
 		f.sweep()
 	}
 	f.dispatch(full)
@@ -215,7 +215,7 @@
 
 // queue puts a request among those waiting: worth per predicted work, then slack, decide who goes next.
 func (f *Front) queue(q *request) {
-	if q.Deadline-f.now < lastCall { // danger: a client's next try may come with hardly any time left
+	if q.Deadline-f.now < f.lastCall { // danger: a client's next try may come with hardly any time left
 		f.giveUp(q)
 		return
 	}
@@ -346,7 +346,7 @@
 // place up. Danger: client connections are few, and what stands still may hold half of them to its end.
 func (f *Front) blocked(a *attempt) {
 	q, best := a.q, math.Inf(1)
-	a.e.locked[q.Tables] = f.now + lockMark
+	a.e.locked[q.Tables] = f.now + lockMark*f.pace
 	if a.cancelled || q.ended || q.c.Effect != Safe {
 		return
 	}
@@ -556,7 +556,7 @@
 
 // decide is the design's path for one waiting request.
 func (f *Front) decide(q *request) {
-	if q.Deadline-f.now < lastCall || q.sends >= max(f.s.MaxAttempts, 1) {
+	if q.Deadline-f.now < f.lastCall || q.sends >= max(f.s.MaxAttempts, 1) {
 		f.giveUp(q)
 		return
 	}
@@ -649,7 +649,7 @@
 		return false // rule: placement
 	}
 	if q.mayRun != nil && (q.c.Effect == Unsafe || q.c.Effect == Keyed &&
-		(f.now-q.mayRunAt >= q.c.Window-checkEvery || q.c.Group == GroupZone && q.mayRun.Zone != e.Zone ||
+		(f.now-q.mayRunAt >= q.c.Window-f.checkEvery || q.c.Group == GroupZone && q.mayRun.Zone != e.Zone ||
 			q.c.Group == GroupCell && q.mayRun.Cell != e.Cell)) {
 		return false // rule: effects
 	}
@@ -686,8 +686,8 @@
 		return true
 	}
 	w := f.s.RationWindow
-	may := f.s.RationFree + f.s.RationShare*f.taken.sum(f.now-w+checkEvery)
-	return f.further.sum(f.now-w-checkEvery)+1 <= may
+	may := f.s.RationFree + f.s.RationShare*f.taken.sum(f.now-w+f.checkEvery)
+	return f.further.sum(f.now-w-f.checkEvery)+1 <= may
 }
 
 // send is the one place that sends; every rule is checked here, whatever path led to it.
@@ -799,7 +799,7 @@
 	case q.ended || o.Ended:
 		f.end(q)
 	case len(q.out) > 0: // another attempt is still out
-	case q.mayRun != nil && c.Effect == Unsafe, o.Result == Timeout && f.now >= q.Deadline-lastCall:
+	case q.mayRun != nil && c.Effect == Unsafe, o.Result == Timeout && f.now >= q.Deadline-f.lastCall:
 		f.giveUp(q)
 	default:
 		f.queue(q)
@@ -903,7 +903,7 @@
 		if len(e.out) == 1 { // one silent attempt says little of its engine: its class's tail counts
 			silent /= e.out[0].q.c.tail
 		}
-		hung := silent > hungTimes && f.now-math.Max(e.heard, e.out[0].sent) > hungLeast
+		hung := silent > hungTimes && f.now-math.Max(e.heard, e.out[0].sent) > f.hungLeast
 		if hung {
 			f.fail(e)
 		}
@@ -950,7 +950,7 @@
 	if a.note == a.sent {
 		periods = lostFirst
 	}
-	if f.s.NotePeriod > 0 && silent > math.Max(periods*f.s.NotePeriod, hungLeast) {
+	if f.s.NotePeriod > 0 && silent > math.Max(periods*f.s.NotePeriod, f.hungLeast) {
 		return true
 	}
 	return !a.noted && silent*math.Max(1-f.regain(a.q.c), 0.05) > a.q.c.tail*a.expect && a.q.moved < lostMoves
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -907,3 +907,20 @@
 		}
 	}
 }
+
+// Where clients wait for 145 ms at most, a query with 100 ms left is no lost one, and what is held is looked at often
+// enough to be answered in time.
+func TestShortDeadlines(t *testing.T) {
+	f := New(Settings{Fronts: 1, MaxAttempts: 6, Classes: []Class{{Name: "lookup", Worth: 1, Aim: 30, Limit: 145, Threads: 1}}}, 1000)
+	f.Step(1000, []Event{EngineList{Whole: true, Engines: []Engine{{ID: "e1"}}}})
+	if s := sends(f.Step(1010, []Event{Request{ID: "q", Class: "lookup", Deadline: 1110, Work: 5}})); len(s) != 1 {
+		t.Fatalf("sent as %v", s)
+	}
+	f.Step(1011, []Event{EngineList{Whole: true, Engines: []Engine{{ID: "e1", Status: Draining}}}, Request{ID: "r", Class: "lookup", Deadline: 1060, Work: 5}})
+	for now := 1015.0; now <= 1060; now += 5 {
+		if len(finals(f.Step(now, nil))) > 0 {
+			return
+		}
+	}
+	t.Error("a held query was not answered before its deadline")
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -48,6 +48,10 @@
 	sweepAt, wakeAt  float64
 	earned           factor // fading sum of what answers earned
 	asked            bool
+	pace             float64 // by which short queries and deadlines scale the times below
+	checkEvery       float64
+	lastCall         float64
+	hungLeast        float64
 	askAt, askPause  float64
 }
 
@@ -141,7 +145,7 @@
 
 // forget drops what no window reaches back to.
 func (f *Front) forget() {
-	span := math.Max(math.Max(f.s.RationWindow, moveWindow), 2*f.s.FallFor) + 2*checkEvery
+	span := math.Max(math.Max(f.s.RationWindow, moveWindow), 2*f.s.FallFor) + 2*f.checkEvery
 	for _, w := range []*window{&f.taken, &f.further, &f.moves} {
 		w.trim(f.now - span)
 	}
@@ -180,6 +184,7 @@
 		tenants: map[string]*tenant{}, keys: map[string]*key{}, avgWarm: 1, avgCold: 1, grow: 1, meanOutAt: now, groups: map[string]*group{}, meanAt: math.Inf(-1),
 		sweepAt: now, wakeAt: math.Inf(1)}
 	f.many = f.fronts > manyFronts
+	f.setPace()
 	for _, c := range s.Classes {
 		f.addClass(c)
 	}
@@ -189,6 +194,29 @@
 	return f
 }
 
+// The time that clients wait in the deployments that the constants are for, in ms, and the least that the scaled
+// ones may be: under these, ways and turns count for more than what is timed.
+const (
+	usualLimit = 2000.0
+	leastCheck = 10.0
+	leastCall  = 14.0
+	leastHung  = 100.0
+)
+
+// setPace scales the times that go with a query's life. Danger: where queries and deadlines are shorter, a check
+// each 100 ms comes too late, and a query with 120 ms left is no lost one.
+func (f *Front) setPace() {
+	f.pace = 1
+	for _, c := range f.s.Classes {
+		if c.Limit > 0 {
+			f.pace = math.Min(f.pace, c.Limit/usualLimit)
+		}
+	}
+	f.checkEvery = math.Max(checkEvery*f.pace, leastCheck)
+	f.lastCall = math.Max(lastCall*f.pace, leastCall)
+	f.hungLeast = math.Max(hungLeast*f.pace, leastHung)
+}
+
 func (f *Front) do(a Action) { f.acts = append(f.acts, a) }
 
 // wake asks for a Timer at a time, unless an earlier one is coming.
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -42,16 +42,16 @@
 		return choice.Full
 	case Over, Crowded:
 		return choice.Moot
-	case Failed:
+	case Failed, Lost, Broken: // danger: a reset says nothing of the process; taken for a restart, it would make it cold
 		return choice.Error
 	case Refused, Unreached:
 		return choice.ConnectFailed
 	case Silent:
 		return choice.Timeout
-	case GivenUp, Idle, Stopped:
+	case GivenUp, Garbled, Idle, Stopped: // a query whose answers are spoilt is deleted
 		return choice.Cancelled
 	}
-	return choice.Reset // Died, Lost, Hangup, Broken, Garbled
+	return choice.Reset // Died, Hangup
 }
 
 // Conn is an open connection. Neither call waits. A closed connection takes further calls and does nothing.
--- a/internal/pg/session.go
+++ b/internal/pg/session.go
@@ -39,6 +39,7 @@
 	mostFaults  = 64      // of them before the session is ended
 	mostATurn   = 32      // messages handled in one turn
 	mostUnread  = 1 << 20 // bytes that a client may leave unread
+	marginMost  = 0.1     // share of a client's limit that the margin for the way back may take
 	mostExcess  = 4       // sessions beyond Most that stay until they are told so
 )
 
@@ -331,7 +332,7 @@
 		s.close()
 		return
 	}
-	r.Deadline = s.all.Now() + limit - math.Min(s.all.Margin, limit/2)
+	r.Deadline = s.all.Now() + limit - math.Min(s.all.Margin, limit*marginMost)
 	r.Client = s
 	s.req, s.verb, s.faults = r, sql.Verb(r.Statement), 0
 	s.all.Coordinator.Take(r)
--- a/internal/rest/attempt.go
+++ b/internal/rest/attempt.go
@@ -93,11 +93,13 @@
 	switch {
 	case r != nil:
 		a.news(r)
-	case a.askedAt == 0:
+	case a.askedAt > 0:
+		a.broke = true
+		a.askIn(0)
+	case e == link.Refused || e == link.Crowded:
 		a.finish(e)
 	default:
-		a.broke = true
-		a.askIn(quickPause)
+		a.finish(link.Unreached)
 	}
 }
 
--- a/internal/rest/fleet.go
+++ b/internal/rest/fleet.go
@@ -16,6 +16,7 @@
 const (
 	pollWithin   = 650.0  // for the news of a query, which come after 250 at the latest
 	callWithin   = 500.0  // for any other answer
+	restWithin   = 60.0   // for the rest of an answer that has begun
 	probeWithin  = 250.0  // for a probe
 	unasked      = 2000.0 // after which a worker group drops a query that nobody asks for
 	unaskedSlack = 100.0  // for the way there
--- a/internal/rest/pool.go
+++ b/internal/rest/pool.go
@@ -37,6 +37,7 @@
 	c       link.Conn
 	parser  parser
 	call    *call
+	begun   bool // a part of an answer has come
 	pausing bool
 	timer   deadline.Entry // ends its pause, or closes it when idle for long
 }
@@ -238,8 +239,13 @@
 		return
 	}
 	if r == nil {
+		if !w.begun { // danger: an answer that stops short looks like one that takes its time
+			w.begun = true
+			f.Deadlines.Set(&w.call.timer, f.Now()+restWithin)
+		}
 		return
 	}
+	w.begun = false
 	c := w.call
 	w.call = nil
 	f.Deadlines.Clear(&c.timer)
