Hold what still earns late, keep readers off load homes, give up poison requests

Checked: the engines' cores are half busy, so a held request finds room later. Tests: TestHeldWhereLateEarns, TestReadersAvoidHomesOfLoads, TestPoison.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -63,6 +63,8 @@
 	hungLeast    = 400.0   // ms: and at least this long
 	trialFirst   = 400.0   // ms: first pause of an engine that failed, doubled by each further failure
 	trialMost    = 4000.0  // ms: longest such pause
+	errorsMost   = 3       // engines on which a request may fail before it is taken to be at fault itself
+	erredAway    = 4.0     // ratio by which an engine's prediction grows for a request that failed there
 	errorsBad    = 3       // errors in a row that make an engine suspect
 	lostMoves    = 2       // moves of a request for that reason: it may just be heavy
 	tailShare    = 0.97    // share of a class's answers that come sooner than its high percentile
@@ -198,7 +200,7 @@
 			q.over = within < quotaFar
 		}
 	}
-	f.count(r.Tables)
+	f.count(r.Tables, c.Load)
 	f.asking, f.askingAt = f.asking*math.Exp((f.askingAt-f.now)/askSpan)+c.work, f.now
 	f.requests[r.ID] = q
 	if c.InOrder && r.Key != "" {
@@ -307,8 +309,11 @@
 				p += math.Max(a.expect-(f.now-a.sent), a.expect/4)
 			}
 		}
-		if e.locked[q.Tables] > f.now { // danger: a peer's load is not seen; only what waits for it tells
+		switch { // danger: a peer's load is not seen; only what waits for it tells
+		case e.locked[q.Tables] > f.now:
 			p += f.lockWait()
+		case !q.c.Load && !f.many && slices.Contains(f.homes(q), e):
+			p += f.lockWait() * f.loadShare(q)
 		}
 	}
 	return p
@@ -420,24 +425,6 @@
 	return int(float64(front) * float64(len(f.ring)) / f.fronts)
 }
 
-// tell passes news of an engine to the fronts that work with it, at a bounded part of the traffic.
-func (f *Front) tell(e *engine, data []byte) {
-	n := len(f.ring)
-	if !f.s.CanTell || !f.many || !e.listed || f.meanLoad < quietLoad || f.tells >= tellShare*f.tookAll {
-		return
-	}
-	for i := 0; i < min(windowSize, n); i++ {
-		start := (e.place - i + n) % n
-		j := int(math.Ceil(float64(start) * f.fronts / float64(n)))
-		for ; j < f.s.Fronts && f.first(j) == start; j++ {
-			if j != f.s.Front {
-				f.tells += float64(len(data)) / float64(max(f.s.MostTold, 1))
-				f.do(Tell{j, data})
-			}
-		}
-	}
-}
-
 // room is the room test (4): under two threads a core over the gateway count, floored at one query's threads.
 // Departure: it also binds fallbacks, since total work falls past a knee. A failed engine gets one attempt.
 func (f *Front) room(e *engine, q *request) bool {
@@ -589,6 +576,9 @@
 		// Danger: fronts that all take the first among equals, or all believe the same stale report, crowd
 		// it. So near-equals are drawn by lot.
 		t := f.predict(e, q, warm) * (1 + near*f.lot*f.rng.Float64())
+		if slices.Contains(q.erred, e) {
+			t *= erredAway
+		}
 		room := f.room(e, q)
 		better(&local, e, t, warm)
 		better(&localRoom, e, t, warm && room)
@@ -634,7 +624,7 @@
 	if math.IsInf(least, 1) { // no engine may take it now: wait for one as long as the aim allows
 		least = f.work(q) / q.c.Threads
 	}
-	late := q.c.LateWorth > 0 && open.e != nil // kept by its turn or a ration only: late is better than never
+	late := q.c.LateWorth > 0 && (open.e != nil || !f.scarce()) // kept by its turn or a ration only: late is better than never
 	if !late && f.now+least > q.aimAt || late && f.now+least > q.Deadline {
 		f.giveUp(q)
 	}
@@ -779,7 +769,7 @@
 		if o.Result == Error {
 			e.heard = f.now
 		}
-		if e.errors++; e.errors >= errorsBad {
+		if f.blame(q, e); e.errors >= errorsBad {
 			f.fail(e)
 			if o.Result == Reset {
 				e.backAt = e.badUntil
@@ -799,7 +789,7 @@
 	case q.ended || o.Ended:
 		f.end(q)
 	case len(q.out) > 0: // another attempt is still out
-	case q.mayRun != nil && c.Effect == Unsafe, o.Result == Timeout && f.now >= q.Deadline-f.lastCall:
+	case q.mayRun != nil && c.Effect == Unsafe, f.poison(q), o.Result == Timeout && f.now >= q.Deadline-f.lastCall:
 		f.giveUp(q)
 	default:
 		f.queue(q)
@@ -1025,7 +1015,7 @@
 // giveUp gives the final answer at once: a refusal with advice where a new try does no harm, else a failure.
 func (f *Front) giveUp(q *request) {
 	unrun := q.mayRun == nil && len(q.out) == 0
-	if unrun || q.c.Effect == Safe || q.c.Effect == Keyed && q.c.Group == GroupAll {
+	if !f.poison(q) && (unrun || q.c.Effect == Safe || q.c.Effect == Keyed && q.c.Group == GroupAll) {
 		// The advice is spread by lot: those refused at once must not all be back at once.
 		advice := f.s.MaxAdvice * adviceShare * (0.5 + f.rng.Float64())
 		if !f.s.CanAdvise {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -924,3 +924,60 @@
 	}
 	t.Error("a held query was not answered before its deadline")
 }
+
+// A request that fails wherever it goes is given up as failed after three engines, and pauses none of them.
+func TestPoison(t *testing.T) {
+	r := newRig(t, base(), eng("e1"), eng("e2"), eng("e3"), eng("e4"))
+	for _, id := range []string{"a", "b", "c", "d", "f"} {
+		acts, tried := r.step(1, req(id, "quick", r)), map[string]bool{}
+		for n := 0; n < 3; n++ {
+			s := r.one(acts)
+			if tried[s.Engine] {
+				t.Fatalf("%s: sent to %s again", id, s.Engine)
+			}
+			tried[s.Engine] = true
+			acts = r.step(1, Outcome{Request: id, Attempt: n, Engine: s.Engine, Result: Error})
+		}
+		if _, ok := acts[len(acts)-1].(Fail); !ok || len(sends(acts)) > 0 {
+			t.Fatalf("%s: third error brings %v", id, acts)
+		}
+	}
+	for _, e := range r.f.engines {
+		if e.errors > 0 || e.fails > 0 {
+			t.Errorf("%s is blamed: errors %d, fails %d", e.ID, e.errors, e.fails)
+		}
+	}
+}
+
+// What has no room now but still earns after its aim is held, not refused; what earns nothing then is refused.
+func TestHeldWhereLateEarns(t *testing.T) {
+	for _, late := range []float64{0, 0.3} {
+		s := base()
+		s.Kinds[0].Cores, s.Classes[0].LateWorth = 1, late
+		r := newRig(t, s, eng("e1"))
+		refused := len(finals(r.step(1, req("a", "quick", r), req("b", "quick", r), req("c", "quick", r)))) > 0
+		if refused != (late == 0) {
+			t.Errorf("late worth %v: refused %v", late, refused)
+		}
+	}
+}
+
+// Readers keep off the homes of a table group that loads hold most of the time, though none is seen there now.
+func TestReadersAvoidHomesOfLoads(t *testing.T) {
+	s := base()
+	s.Classes[0].Waits, s.Classes[2].Effect = true, Keyed
+	r := newRig(t, s, eng("e1"), eng("e2"), eng("e3"), eng("e4"), eng("e5"), eng("e6"))
+	q := &request{Request: req("q", "quick", r), c: r.f.classes["quick"]}
+	home := r.f.homes(q)[0]
+	for i := 0; i < 60; i++ {
+		id := "l" + string(rune('0'+i/10)) + string(rune('0'+i%10))
+		for _, x := range sends(r.step(100, req(id, "load", r))) {
+			r.step(1, Outcome{Request: id, Engine: x.Engine, Result: OK, Took: 900, Ended: true, Work: 1800})
+		}
+	}
+	held := r.f.predict(home, q, false)
+	r.f.group("7").loads = 0
+	if free := r.f.predict(home, q, false); held < free+r.f.lockWait()/4 {
+		t.Errorf("predicted %.0f ms where loads come, %.0f where none do", held, free)
+	}
+}
--- a/choice/news.go
+++ b/choice/news.go
@@ -35,3 +35,21 @@
 
 // abroad is a query that a peer sent to an engine.
 type abroad struct{ at, threads, long float64 }
+
+// tell passes news of an engine to the fronts that work with it, at a bounded part of the traffic.
+func (f *Front) tell(e *engine, data []byte) {
+	n := len(f.ring)
+	if !f.s.CanTell || !f.many || !e.listed || f.meanLoad < quietLoad || f.tells >= tellShare*f.tookAll {
+		return
+	}
+	for i := 0; i < min(windowSize, n); i++ {
+		start := (e.place - i + n) % n
+		j := int(math.Ceil(float64(start) * f.fronts / float64(n)))
+		for ; j < f.s.Fronts && f.first(j) == start; j++ {
+			if j != f.s.Front {
+				f.tells += float64(len(data)) / float64(max(f.s.MostTold, 1))
+				f.do(Tell{j, data})
+			}
+		}
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand"
+	"slices"
 	"sort"
 )
 
@@ -110,7 +111,8 @@
 	waiting, ended bool
 	sends, moved   int
 	probedAt       float64
-	slow           float64 // length that a slow attempt was heading for when it was started anew
+	erred          []*engine // where it has failed
+	slow           float64   // length that a slow attempt was heading for when it was started anew
 	out            []*attempt
 	mayRun         *engine // where the first attempt that may have run went
 	mayRunAt       float64
@@ -385,6 +387,7 @@
 // group is a table group: its fading count of requests and the engines in the order of their hashes with it.
 type group struct {
 	n, at float64
+	loads float64 // those of them that hold it
 	list  int
 	order []*engine
 }
@@ -399,9 +402,13 @@
 }
 
 // count adds a request to its table group.
-func (f *Front) count(tables string) {
+func (f *Front) count(tables string, load bool) {
 	g := f.group(tables)
-	g.n = g.n*math.Exp((g.at-f.now)/warmFor) + 1
+	fade := math.Exp((g.at - f.now) / warmFor)
+	g.n, g.loads = g.n*fade+1, g.loads*fade
+	if load {
+		g.loads++
+	}
 	g.at = f.now
 	f.groupSum.v = f.groupSum.v*math.Exp((f.groupSum.at-f.now)/warmFor) + 1
 	f.groupSum.at = f.now
@@ -433,3 +440,28 @@
 		e.place = i
 	}
 }
+
+// loadShare is the part of the time that a table group is held at one of its homes, if our peers get loads as we do.
+func (f *Front) loadShare(q *request) float64 {
+	g := f.group(q.Tables)
+	rate := g.loads * math.Exp((g.at-f.now)/warmFor) / warmFor * f.fronts
+	return math.Min(rate*f.lockWait()/lockSpan/float64(len(f.homes(q))), 1)
+}
+
+// blame counts an error against its engine. Danger: a request that fails wherever it goes would have every engine
+// paused; from the second engine on it counts against none.
+func (f *Front) blame(q *request, e *engine) {
+	if !slices.Contains(q.erred, e) {
+		if q.erred = append(q.erred, e); len(q.erred) == 2 {
+			q.erred[0].errors = max(q.erred[0].errors-1, 0)
+		}
+	}
+	if len(q.erred) < 2 {
+		e.errors++
+	}
+}
+
+// poison tells that a request has failed on so many engines that it is at fault itself.
+func (f *Front) poison(q *request) bool {
+	return len(q.erred) >= max(2, min(errorsMost, len(f.usable)))
+}
