--- a/choice/choice.go
+++ b/choice/choice.go
@@ -789,7 +789,8 @@
 	case q.ended || o.Ended:
 		f.end(q)
 	case len(q.out) > 0: // another attempt is still out
-	case q.mayRun != nil && c.Effect == Unsafe, f.poison(q), o.Result == Timeout && f.now >= q.Deadline-f.lastCall:
+	case q.mayRun != nil && c.Effect == Unsafe, f.poison(q),
+		o.Result == Timeout && f.now >= q.Deadline-f.lastCall:
 		f.giveUp(q)
 	default:
 		f.queue(q)
