--- a/choice/choice.go
+++ b/choice/choice.go
@@ -624,7 +624,7 @@
 	if math.IsInf(least, 1) { // no engine may take it now: wait for one as long as the aim allows
 		least = f.work(q) / q.c.Threads
 	}
-	late := q.c.LateWorth > 0 && (open.e != nil || !f.scarce()) // kept by its turn or a ration only: late is better than never
+	late := q.c.LateWorth > 0 && (open.e != nil || !f.scarce()) // late is better than never
 	if !late && f.now+least > q.aimAt || late && f.now+least > q.Deadline {
 		f.giveUp(q)
 	}
