Pause an engine for the class that it fails, not for all classes

Ruled out: the session limit (lookups got in), drains (the list had them Ready). Change: an engine's failures are also counted by class (ill): a class turned away is paused there, ever longer, and one attempt tries it again; the whole engine is paused for a full answer only where it gave no good answer lately. Tests: TestSickForOneClass; TestRation clears the new count as it did the old.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -632,7 +632,7 @@
 
 // allowed says whether a rule or an engine's health keeps a request from an engine now.
 func (f *Front) allowed(e *engine, q *request) bool {
-	if !e.listed || f.now < e.badUntil {
+	if !e.listed || f.now < e.badUntil || e.sick(q.c, f.now) {
 		return false
 	}
 	if len(q.c.Zones) > 0 && !has(q.c.Zones, e.Zone) || len(q.c.Kinds) > 0 && !has(q.c.Kinds, e.Kind) {
@@ -759,17 +759,23 @@
 		if q.slow > 0 {
 			c.regain, c.regainAt = f.regain(c)+(math.Min(o.Took/q.slow, 2)-f.regain(c))*regainLearn, f.now
 		}
-		e.heard, e.fails, e.errors = f.now, 0, 0
+		e.heard, e.okAt, e.fails, e.errors = f.now, f.now, 0, 0
+		delete(e.ills, c)
 	case Full: // danger: an engine that takes nothing answers at once and, with nothing of ours, looks idle
 		e.heard = f.now
-		f.fail(e)
+		if f.sicken(e, c); f.now-e.okAt > trialFirst {
+			f.fail(e)
+		}
 	case Error, Reset:
 		// Danger: an engine that fails fast looks idle and draws all traffic. A single reset may be a poor
 		// link.
 		if o.Result == Error {
 			e.heard = f.now
 		}
-		if f.blame(q, e); e.errors >= errorsBad {
+		if f.blame(q, e); e.ill(c).errors >= errorsBad {
+			f.sicken(e, c)
+		}
+		if e.errors >= errorsBad {
 			f.fail(e)
 			if o.Result == Reset {
 				e.backAt = e.badUntil
@@ -802,10 +808,14 @@
 	if f.now < e.badUntil {
 		return
 	}
-	e.badUntil = f.now + math.Min(trialFirst*math.Pow(2, float64(e.fails)), trialMost)*(1+f.rng.Float64()/4)
+	e.badUntil = f.now + f.pause(e.fails)
 	e.fails++
 }
 
+func (f *Front) pause(fails int) float64 {
+	return math.Min(trialFirst*math.Pow(2, float64(fails)), trialMost) * (1 + f.rng.Float64()/4)
+}
+
 // learn takes an answer into the class's mean work and the engine's factor (2), bounded against nonsense.
 func (f *Front) learn(a *attempt, o Outcome) {
 	c, base := a.q.c, a.base
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -291,7 +291,7 @@
 		got := r.one(r.step(10, req(id, "quick", r)))
 		n += len(sends(r.step(10, Outcome{Request: id, Engine: got.Engine, Result: Error},
 			Outcome{Request: "x", Engine: got.Engine, Result: OK})))
-		r.f.byID[got.Engine].errors = 0
+		r.f.byID[got.Engine].errors, r.f.byID[got.Engine].ills = 0, nil
 	}
 	if n != 2 {
 		t.Fatalf("%d further attempts, want 2", n)
@@ -981,3 +981,24 @@
 		t.Errorf("predicted %.0f ms where loads come, %.0f where none do", held, free)
 	}
 }
+
+// An engine that turns one class away and answers another is paused for the first only; one attempt then tries it.
+func TestSickForOneClass(t *testing.T) {
+	r := newRig(t, base(), eng("e1"))
+	r.step(1, req("ok", "quick", r))
+	r.step(1, Outcome{Request: "ok", Engine: "e1", Result: OK, Took: 1, Ended: true})
+	r.one(r.step(1, req("w1", "wide", r)))
+	r.none(r.step(1, Outcome{Request: "w1", Engine: "e1", Result: Full}))
+	r.one(r.step(1, req("q", "quick", r)))
+	r.step(1, Outcome{Request: "q", Engine: "e1", Result: OK, Took: 1, Ended: true})
+	r.none(r.step(1, req("w2", "wide", r)))
+	got := sends(r.step(520, Timer{"check"}))
+	if len(got) != 1 {
+		t.Fatalf("want one trial, got %v", got)
+	}
+	n := r.f.requests[got[0].Request].sends - 1
+	acts := r.step(1, Outcome{Request: got[0].Request, Attempt: n, Engine: "e1", Result: OK, Took: 1, Ended: true})
+	if acts = append(acts, r.step(60, Timer{"check"}, req("w3", "wide", r))...); len(sends(acts)) != 2 {
+		t.Fatal("not used again after a good answer")
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -71,7 +71,9 @@
 	memory           float64 // share granted, as last reported
 	fails, errors    int
 	badUntil, backAt float64
-	took, tookLight  float64 // fading sums over answers: their times, and what those would be under light load
+	okAt             float64        // of its last good answer
+	ills             map[*class]ill // classes that it fails
+	took, tookLight  float64        // fading sums over answers: their times, and what those would be under light load
 	probedAt         float64
 	coldSent         window
 	hash             uint64
@@ -79,6 +81,12 @@
 	abroad           []abroad // in the order in which they were told
 }
 
+// ill is how an engine fails one class: since its last good answer to that class.
+type ill struct {
+	errors, fails int
+	until         float64
+}
+
 type factor struct{ v, n, at float64 }
 
 type class struct {
@@ -458,7 +466,34 @@
 	}
 	if len(q.erred) < 2 {
 		e.errors++
+		i := e.ill(q.c)
+		i.errors++
+		e.ills[q.c] = i
+	}
+}
+
+func (e *engine) ill(c *class) ill {
+	if e.ills == nil {
+		e.ills = map[*class]ill{}
 	}
+	return e.ills[c]
+}
+
+// sicken pauses an engine for one class. Danger: an engine that fails one class and answers the others looks well; and
+// were it paused for all, the others would lose it.
+func (f *Front) sicken(e *engine, c *class) {
+	i := e.ill(c)
+	if f.now >= i.until {
+		i.until = f.now + f.pause(i.fails)
+		i.fails++
+		e.ills[c] = i
+	}
+}
+
+// sick tells whether a class must not go there now: it is paused, or one attempt is trying it again.
+func (e *engine) sick(c *class, now float64) bool {
+	i := e.ills[c]
+	return now < i.until || i.fails > 0 && slices.ContainsFunc(e.out, func(a *attempt) bool { return a.q.c == c })
 }
 
 // poison tells that a request has failed on so many engines that it is at fault itself.
