Give up what is open before SIGKILL may come, and forget keys that have rested

Found by reading: choice end() kept a key that still had to rest for good, and engine.tables and locked kept every table group's name; gnet's loop ending by itself left the program with status 0. Change: choice takes Leaving and gives all up 350 ms before the earliest SIGKILL (0.7 s and the longest limit, 3 s at most, after SIGTERM); the program stays until worker groups have heard. forget() drops rested keys and old groups.

--- a/choice/api.go
+++ b/choice/api.go
@@ -218,6 +218,9 @@
 	Data []byte
 }
 
+// Leaving says that the front ends: each request still open gets its final answer now.
+type Leaving struct{}
+
 func (EngineList) event() {}
 func (Request) event()    {}
 func (Outcome) event()    {}
@@ -226,6 +229,7 @@
 func (Timer) event()      {}
 func (Probed) event()     {}
 func (Told) event()       {}
+func (Leaving) event()    {}
 
 // Action is something to do.
 type Action interface{ action() }
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -136,6 +136,8 @@
 			f.probed(ev)
 		case Told:
 			f.told(ev)
+		case Leaving:
+			f.leave()
 		}
 	}
 	f.averages()
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -1002,3 +1002,34 @@
 		t.Fatal("not used again after a good answer")
 	}
 }
+
+// A front that ends answers all that is open, and calls off what is out.
+func TestLeaving(t *testing.T) {
+	r := newRig(t, base(), eng("e1"))
+	r.step(1, req("a", "wide", r), req("b", "load", r))
+	acts := r.step(1, Leaving{})
+	if got := fmt.Sprint(acts[:4]); got != "[{a 0} "+fmt.Sprint(acts[1])+" {b 0} {b}]" || len(r.f.waiting) > 0 {
+		t.Fatalf("got %v", acts)
+	}
+}
+
+// What is known of keys, table groups and engines goes with them.
+func TestForgets(t *testing.T) {
+	s := base()
+	s.OrderSettle = 5
+	r := newRig(t, s, eng("e1"))
+	for i := 0; i < 50; i++ {
+		id := fmt.Sprint("k", i)
+		q := req(id, "load", r)
+		q.Key, q.Tables = id, id
+		r.step(10, q)
+		r.step(10, Outcome{Request: id, Engine: "e1", Result: Cancelled})
+	}
+	r.step(0, EngineList{Whole: true, Engines: []Engine{eng("e2")}})
+	for i := 0; i < 3; i++ {
+		r.step(40000, Timer{"check"})
+	}
+	if f := r.f; len(f.keys)+len(f.groups)+len(f.requests) > 0 || len(f.engines) != 1 || len(f.engines[0].tables) > 0 {
+		t.Errorf("left: %d keys, %d groups, %d requests, %d engines", len(f.keys), len(f.groups), len(f.requests), len(f.engines))
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -162,6 +162,16 @@
 	kept := f.engines[:0]
 	for _, e := range f.engines {
 		e.coldSent.trim(f.now - span)
+		for name, at := range e.tables {
+			if at < f.now-warmFor {
+				delete(e.tables, name)
+			}
+		}
+		for name, until := range e.locked {
+			if until < f.now {
+				delete(e.locked, name)
+			}
+		}
 		for len(e.abroad) > 0 && e.abroad[0].at < f.now-warmFor/6 {
 			e.abroad = e.abroad[1:]
 		}
@@ -174,6 +184,11 @@
 	}
 	clear(f.engines[len(kept):])
 	f.engines = kept
+	for name, k := range f.keys { // one that rested as its last request ended
+		if len(k.line) == 0 && k.restUntil <= f.now {
+			delete(f.keys, name)
+		}
+	}
 	for name, g := range f.groups {
 		if g.at < f.now-2*warmFor {
 			delete(f.groups, name)
@@ -316,6 +331,24 @@
 	}
 }
 
+// leave gives all open requests up, in the order of their ids: equal events give equal actions.
+func (f *Front) leave() {
+	ids := make([]string, 0, len(f.requests))
+	for id := range f.requests {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	for _, id := range ids {
+		q := f.requests[id]
+		for _, a := range q.out {
+			f.cancel(a)
+		}
+		if !q.ended {
+			f.giveUp(q)
+		}
+	}
+}
+
 // averages renews the mean factors of the engines heard of.
 func (f *Front) averages() {
 	var ws, wn, cs, cn, cores float64
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -155,6 +155,9 @@
 	}
 }
 
+// Leave has the module answer all that is still open, as the program ends.
+func (c *Coordinator) Leave() { c.tell(choice.Leaving{}) }
+
 // List takes news of the engine list.
 func (c *Coordinator) List(whole bool, members []Member) {
 	l := choice.EngineList{Whole: whole}
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -58,8 +58,12 @@
 		}
 	}()
 	// With ReusePort the one loop accepts by itself; without, gnet would run a second one for that.
-	return gnet.Run(l, "tcp://"+addr, gnet.WithNumEventLoop(1), gnet.WithReusePort(true), gnet.WithTicker(true),
+	err := gnet.Run(l, "tcp://"+addr, gnet.WithNumEventLoop(1), gnet.WithReusePort(true), gnet.WithTicker(true),
 		gnet.WithReadBufferCap(64<<10), gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithLogger(logger{}))
+	if err == nil && !l.stopped { // gnet tells of what ended its loop in its log only
+		err = errors.New("the event loop ended by itself")
+	}
+	return err
 }
 
 // OnBoot comes before the loop runs.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,8 +24,12 @@
 	inputShare   = 0.1      // of the memory, for bytes from clients that wait
 	leastInput   = 16 << 10 // bytes of a message that are read at least
 	mostInput    = 256 << 10
-	stayAfter    = 800.0 // ms that new requests may still come after SIGTERM
-	stayCheck    = 20.0  // ms between looks whether all is answered
+	stayAfter    = 800.0  // ms that new requests may still come after SIGTERM
+	stayCheck    = 20.0   // ms between looks whether all is answered
+	killAfter    = 700.0  // ms after the longest deadline, or killMost, at which SIGKILL may come
+	killMost     = 3000.0 // ms
+	answerBefore = 350.0  // ms before that time by which all is answered
+	cancelWithin = 200.0  // ms from then for worker groups to hear what is given up
 )
 
 // Node is a whole coordinator.
@@ -33,6 +37,7 @@
 	Coordinator *coordinator.Coordinator
 	Sessions    *pg.Sessions
 	Watch       *board.Watch
+	fleet       *rest.Fleet
 	queue       *deadline.Queue
 	now         func() float64
 	config      config.Config
@@ -47,7 +52,7 @@
 	coord := coordinator.New(c.Choice, now, queue, fleet, wake)
 	fleet.Watcher = coord
 	clients := max(c.Sockets-fleet.MostWires-reserve, 1)
-	n := &Node{Coordinator: coord, queue: queue, now: now, config: c,
+	n := &Node{Coordinator: coord, fleet: fleet, queue: queue, now: now, config: c,
 		Sessions: &pg.Sessions{Coordinator: coord, Deadlines: queue, Faults: faults, Now: now, Margin: answerMargin, Most: clients,
 			MostInput: min(max(int(c.MemoryMB*(1<<20)*inputShare)/clients, leastInput), mostInput),
 			Random:    rand.New(rand.NewSource(int64(c.Seed) + 1))},
@@ -67,21 +72,30 @@
 	n.Watch.Move(c.Board)
 }
 
-// Leave calls stop once nothing new comes and all that was taken is answered and written. Asked again, it does
-// nothing.
+// Leave calls stop once nothing new comes and all that was taken is answered and written. What would take longer than
+// SIGKILL leaves is given up before that: its client may then still try elsewhere. Asked again, it does nothing.
 func (n *Node) Leave(stop func()) {
 	if n.leaving {
 		return
 	}
 	n.leaving = true
 	log.Printf("event=leaving owed=%d", n.Coordinator.Owed())
+	longest := 0.0
+	for _, c := range n.config.Choice.Classes {
+		longest = max(longest, c.Limit)
+	}
+	last := n.now() + min(longest, killMost) + killAfter - answerBefore
+	n.queue.Set(&deadline.Entry{Do: func() {
+		n.Sessions.Leaving = true
+		n.Coordinator.Leave()
+	}}, last)
 	e := &deadline.Entry{}
 	e.Do = func() {
-		if n.Coordinator.Owed() == 0 && n.Sessions.Pending() == 0 {
+		n.Sessions.Leaving = true
+		if n.Coordinator.Owed() == 0 && n.Sessions.Pending() == 0 && (n.fleet.Out() == 0 || n.now() > last+cancelWithin) {
 			stop()
 			return
 		}
-		n.Sessions.Leaving = true
 		n.queue.Set(e, n.now()+stayCheck)
 	}
 	n.queue.Set(e, n.now()+stayAfter)
--- a/internal/rest/fleet.go
+++ b/internal/rest/fleet.go
@@ -148,6 +148,9 @@
 	}
 }
 
+// Out is the number of attempts that may run on some worker group.
+func (f *Fleet) Out() int { return len(f.attempts) }
+
 // Send starts an attempt.
 func (f *Fleet) Send(s coordinator.Attempt) {
 	a := &attempt{Attempt: s, f: f, g: f.groups[s.Engine], sent: f.Now()}
