Take a refused connection for a death only where all others are gone too

At fault: rest/attempt.go revoke() and ask(), which took Refused for a dead process. Ruled out: lapse (never came), 500s, POSTs overtaken by DELETEs. Change: a group that refuses is dead only if none of its connections is open or another one has its address. Calls about a query wait for an open connection to fall free; after a refusal the next connection is tried 50 ms later. The wait for a worker group to drop an unasked query counts the answer it may hold back.

--- a/internal/rest/attempt.go
+++ b/internal/rest/attempt.go
@@ -58,7 +58,7 @@
 }
 
 func (a *attempt) start(build func() []byte, within float64, done func(*reply, link.End)) {
-	a.call = &call{build: build, within: within, done: done}
+	a.call = &call{build: build, within: within, done: done, stays: a.postedAt > 0}
 	a.g.start(a.call)
 }
 
@@ -108,7 +108,7 @@
 		switch {
 		case r != nil:
 			a.news(r)
-		case e == link.Refused: // its process has died, and the query with it
+		case e == link.Refused && a.g.dead(): // its process has ended, and the query with it
 			a.finish(link.Died)
 		case e == link.Unreached || e == link.Silent:
 			a.askIn(retryPause)
@@ -195,7 +195,7 @@
 	}
 	a.start(func() []byte { return a.get(n) }, callWithin, func(r *reply, e link.End) {
 		switch {
-		case e == link.Refused:
+		case e == link.Refused && a.g.dead():
 			a.finish(link.Died)
 		case r == nil:
 			again(link.Broken)
@@ -263,7 +263,7 @@
 		a.delete(func(r *reply, end link.End) {
 			switch {
 			case a.over:
-			case r != nil && (r.status/100 == 2 || r.status/100 == 5) || end == link.Refused: // deleted, or not known
+			case r != nil && (r.status/100 == 2 || r.status/100 == 5) || end == link.Refused && a.g.dead(): // deleted, not known, or ended
 				a.finish(e)
 			default:
 				a.f.Deadlines.Set(&a.again, a.f.Now()+quickPause)
@@ -282,7 +282,7 @@
 	if done == nil {
 		done = func(*reply, link.End) {}
 	}
-	a.g.start(&call{build: func() []byte { return request("DELETE", "/obj/"+a.ID, a.g.addr, "", nil) }, within: callWithin, done: done})
+	a.g.start(&call{build: func() []byte { return request("DELETE", "/obj/"+a.ID, a.g.addr, "", nil) }, within: callWithin, done: done, stays: true})
 }
 
 // finish is the one end of an attempt.
--- a/internal/rest/fleet.go
+++ b/internal/rest/fleet.go
@@ -19,10 +19,11 @@
 	restWithin   = 60.0   // for the rest of an answer that has begun
 	probeWithin  = 250.0  // for a probe
 	unasked      = 2000.0 // after which a worker group drops a query that nobody asks for
-	unaskedSlack = 100.0  // for the way there
+	unaskedSlack = 350.0  // for the way there, and for the last answer that it held back
 	retryPause   = 150.0  // between two tries to reach a silent worker group
 	quickPause   = 20.0   // before asking again after a broken connection
 	extraWithin  = 4.0    // after a good answer, for bytes behind it to come before the connection is used again
+	refusedPause = 50.0   // after a refused connection, before another one is asked for
 	sendApart    = 30.0   // between a POST and the DELETE of its query on another connection, which must not overtake it
 	mostBroken   = 4      // connections in a row that are reset as they come up, before a call hears of it
 	mostSpoilt   = 8      // spoilt answers in a row before a query is given up
@@ -109,6 +110,7 @@
 	if !g.gone || g.wires > 0 || g.attempts > 0 || len(g.waiting) > 0 || f.groups[g.id] != g {
 		return
 	}
+	f.Deadlines.Clear(&g.reopen)
 	delete(f.groups, g.id)
 	if f.at[g.addr] == g {
 		delete(f.at, g.addr)
--- a/internal/rest/pool.go
+++ b/internal/rest/pool.go
@@ -11,6 +11,7 @@
 	build  func() []byte // the bytes, made when they are written; nil calls it off
 	within float64       // ms for the answer, from when the call is written
 	done   func(r *reply, e link.End)
+	stays  bool           // it concerns a query that may run there: it waits for an open connection
 	timer  deadline.Entry // for a connection, then for the answer
 }
 
@@ -24,9 +25,11 @@
 	held     *wire   // whose answer is being taken
 	waiting  []*call // in the order in which they came
 	dialing  int
-	pausing  int // connections that will be free in a moment
-	wires    int // connections, those on their way too
-	broken   int // connections in a row that were reset as they came up
+	pausing  int            // connections that will be free in a moment
+	wires    int            // connections, those on their way too
+	open     int            // of those the ones that are up
+	reopen   deadline.Entry // set after a refusal: no connection is asked for before
+	broken   int            // connections in a row that were reset as they came up
 	attempts int
 }
 
@@ -79,7 +82,7 @@
 // dial opens a connection for a call that waits and has none on its way, if there is room for one. Else the call
 // takes one that falls free, or runs out of time.
 func (g *group) dial() {
-	if g.dialing+g.pausing >= len(g.waiting) || !g.f.room() {
+	if g.dialing+g.pausing >= len(g.waiting) || g.reopen.Waits() || !g.f.room() {
 		return
 	}
 	g.dialing++
@@ -95,6 +98,21 @@
 	}
 }
 
+// refuse ends the first call that a connection was opened for. Danger: one that drains refuses connections and runs
+// its queries on; what concerns those waits for a connection that is open.
+func (g *group) refuse(e link.End) {
+	for _, c := range g.waiting {
+		if !c.stays || e != link.Refused || g.dead() {
+			g.fail(c, e)
+			return
+		}
+	}
+}
+
+// dead tells, of a worker group that refuses a connection, whether its process has ended: then all are gone, or
+// another one listens there.
+func (g *group) dead() bool { return g.open == 0 || g.addr == "" }
+
 // forget takes a call from the line.
 func (g *group) forget(c *call) bool {
 	for i, x := range g.waiting {
@@ -211,6 +229,9 @@
 func (w *wire) off() {
 	w.awake()
 	w.g.f.Deadlines.Clear(&w.timer)
+	if w.c != nil {
+		w.g.open--
+	}
 	w.g.wires--
 	w.g.f.wires--
 }
@@ -218,6 +239,7 @@
 // Opened comes when the connection is up.
 func (w *wire) Opened(c link.Conn) {
 	w.g.dialing--
+	w.g.open++
 	w.c = c
 	w.rest(0)
 }
@@ -288,11 +310,15 @@
 	g := w.g
 	g.dialing--
 	w.off()
+	if e == link.Refused {
+		g.reopen.Do = g.dial
+		g.f.Deadlines.Set(&g.reopen, g.f.Now()+refusedPause)
+	}
 	// The first in line stands for those that this connection was opened for.
 	if len(g.waiting) > g.dialing && w.addr == g.addr {
 		// One that was reset as it came up tells nothing of the worker group: another one is opened.
 		if g.broken++; e == link.Refused || e == link.Unreached || g.broken > mostBroken {
-			g.fail(g.waiting[0], e)
+			g.refuse(e)
 		}
 	}
 	g.f.serve()
