Count the last load ahead only, and give quiet engines less room on top

Seen: trace: loads with 7.4 s left refused as they came, at a prediction over that. choice.go predict() added up the expected times of all loads ahead on a group, though each has the wait behind those ahead of it in it already. Test: TestLoadsInLine.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -37,7 +37,7 @@
 	crossQuiet   = 0.5     // ratio added to it as the fleet's reported load falls from full to none
 	idleLoad     = 0.7     // reported load below which an engine's room may be overshot by a whole query
 	quietLoad    = 0.55    // reported load below which it has more room: our peers use less than their part
-	idleRoom     = 1.6     // ratio: how much more
+	idleRoom     = 1.3     // ratio: how much more
 	lightLoad    = 0.55    // load under which an answer shows what a class takes on an engine not crowded
 	manyFronts   = 4.0     // fronts from which peers' sends, not our own, decide what an engine keeps warm
 	windowSize   = 8       // engines that a front works with, with many fronts
@@ -306,11 +306,13 @@
 		p *= loadAway
 	}
 	if q.c.Load || q.c.Waits { // a load holds its tables on its engine: what needs them stands still there
-		for _, a := range e.out {
+		wait := 0.0
+		for _, a := range e.out { // the last one's expected time has those ahead of it in it
 			if a.q.c.Load && a.q.Tables == q.Tables {
-				p += math.Max(a.expect-(f.now-a.sent), a.expect/4)
+				wait = math.Max(wait, math.Max(a.expect-(f.now-a.sent), a.expect/4))
 			}
 		}
+		p += wait
 		switch { // danger: a peer's load is not seen; only what waits for it tells
 		case e.locked[q.Tables] > f.now:
 			p += f.lockWait()
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -1033,3 +1033,18 @@
 		t.Errorf("left: %d keys, %d groups, %d requests, %d engines", len(f.keys), len(f.groups), len(f.requests), len(f.engines))
 	}
 }
+
+// Loads of one table group run one after another: the wait behind two of them is that behind the last, whose
+// expected time has the first one's in it.
+func TestLoadsInLine(t *testing.T) {
+	r := newRig(t, base(), eng("e1"))
+	e, q := r.f.engines[0], &request{Request: req("q", "load", r), c: r.f.classes["load"]}
+	alone := r.f.predict(e, q, false)
+	for i, expect := range []float64{1000, 2000} {
+		e.out = append(e.out, &attempt{q: &request{Request: Request{Tables: "7"}, c: q.c}, e: e, n: i, sent: r.now, expect: expect})
+	}
+	e.heard = r.now
+	if got := r.f.predict(e, q, false) - alone; got != 2000 {
+		t.Errorf("the wait behind loads of 1000 and 2000 ms is %.0f", got)
+	}
+}
