Look statements up by shape: doubted ones are never repeated, missing estimates filled

Need: a write that hides in a text told as a lookup was sent again like any lookup, and a request without an estimate had its class's mean only.

Change: the coordinator looks every statement up in the shape book, which replaces internal/sql. Where a statement does not bear what its class promises, the request is taken and passed on unchanged, counted by reason, and marked Once: the module never sends it again once it may have run. Answers teach each shape its price; a request without an estimate gets it once the shape is sure. Our own settings stand in deploy/thymeway.ini, with section and key in every fault; the command line has serve, check, settings and version; the log is slog's with the same key=value text.

--- a/choice/api.go
+++ b/choice/api.go
@@ -148,6 +148,8 @@
 	Mem      float64 // estimate, MB, 0: none
 	Tables   string  // its table group
 	Repeat   bool
+	Once     bool // whatever its class allows, it is never sent again once it may have run
+	Learned  bool // Work and Mem are not told but learned: the class's correction of told ones is not theirs
 }
 
 // Result is how an attempt ended.
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -188,7 +188,7 @@
 	f.taken.add(f.now, 1)
 	f.tookAll++
 	c := f.class(r.Class)
-	q := &request{Request: r, c: c, arrived: f.now, probedAt: math.Inf(-1)}
+	q := &request{Request: r, c: c, effect: effect(r, c), arrived: f.now, probedAt: math.Inf(-1)}
 	q.worth = c.Worth
 	if t := f.tenants[r.Tenant]; t != nil && t.Quota > 0 {
 		// Past its quota a tenant's requests are worth little. Which of them no front can tell alone: each is
@@ -231,7 +231,7 @@
 
 // work predicts a query's work: its estimate, corrected for its class, or the class's mean (2).
 func (f *Front) work(q *request) float64 {
-	if w := q.Work * q.c.hintRatio; w > 0.01 && w < 1e9 { // nonsense estimates count as none
+	if w := q.Work * q.hint(); w > 0.01 && w < 1e9 { // nonsense estimates count as none
 		return w
 	}
 	return q.c.work
@@ -356,7 +356,7 @@
 func (f *Front) blocked(a *attempt) {
 	q, best := a.q, math.Inf(1)
 	a.e.locked[q.Tables] = f.now + lockMark*f.pace
-	if a.cancelled || q.ended || q.c.Effect != Safe {
+	if a.cancelled || q.ended || q.effect != Safe {
 		return
 	}
 	for _, e := range f.candidates() {
@@ -380,7 +380,7 @@
 	}
 	for _, e := range f.engines {
 		for _, a := range e.out {
-			if q := a.q; !q.ended && q.c.Effect != Unsafe && !f.earns(q, f.now-a.sent) {
+			if q := a.q; !q.ended && q.effect != Unsafe && !f.earns(q, f.now-a.sent) {
 				f.cancel(a)
 				f.giveUp(q)
 			}
@@ -642,7 +642,7 @@
 	if len(q.c.Zones) > 0 && !has(q.c.Zones, e.Zone) || len(q.c.Kinds) > 0 && !has(q.c.Kinds, e.Kind) {
 		return false // rule: placement
 	}
-	if q.mayRun != nil && (q.c.Effect == Unsafe || q.c.Effect == Keyed &&
+	if q.mayRun != nil && (q.effect == Unsafe || q.effect == Keyed &&
 		(f.now-q.mayRunAt >= q.c.Window-f.checkEvery || q.c.Group == GroupZone && q.mayRun.Zone != e.Zone ||
 			q.c.Group == GroupCell && q.mayRun.Cell != e.Cell)) {
 		return false // rule: effects
@@ -688,7 +688,7 @@
 func (f *Front) send(q *request, e *engine, t float64) bool {
 	switch {
 	case q.ended, q.sends >= max(f.s.MaxAttempts, 1),
-		len(q.out) > 0 && !(f.s.TwoAttempts && q.c.Effect == Safe),
+		len(q.out) > 0 && !(f.s.TwoAttempts && q.effect == Safe),
 		!f.allowed(e, q), // drains, effects, cold engines, placement
 		q.key != nil && (q.key.line[0] != q || f.now < q.key.restUntil), // order
 		q.sends > 0 && !f.rationed():                                    // ration
@@ -799,7 +799,7 @@
 	case q.ended || o.Ended:
 		f.end(q)
 	case len(q.out) > 0: // another attempt is still out
-	case q.mayRun != nil && c.Effect == Unsafe, f.poison(q),
+	case q.mayRun != nil && q.effect == Unsafe, f.poison(q),
 		o.Result == Timeout && f.now >= q.Deadline-f.lastCall:
 		f.giveUp(q)
 	default:
@@ -826,7 +826,7 @@
 	work := o.Took / a.scale * c.Threads
 	if o.Work > 0 {
 		work, base = o.Work, o.Work/c.Threads
-		if h := a.q.Work; h > 0.01 && h < 1e9 {
+		if h := a.q.Work; h > 0.01 && h < 1e9 && !a.q.Learned {
 			c.hintRatio += (bound(o.Work/h, clip) - c.hintRatio) * learnWork
 		}
 	}
@@ -965,7 +965,7 @@
 // moves allow it.
 func (f *Front) move(a *attempt) {
 	q := a.q
-	if !f.s.CanCancel || a.cancelled || q.ended || q.c.Effect != Safe {
+	if !f.s.CanCancel || a.cancelled || q.ended || q.effect != Safe {
 		return
 	}
 	if q.sends >= f.s.MaxAttempts || !f.rationed() ||
@@ -1030,7 +1030,7 @@
 // giveUp gives the final answer at once: a refusal with advice where a new try does no harm, else a failure.
 func (f *Front) giveUp(q *request) {
 	unrun := q.mayRun == nil && len(q.out) == 0
-	if !f.poison(q) && (unrun || q.c.Effect == Safe || q.c.Effect == Keyed && q.c.Group == GroupAll) {
+	if !f.poison(q) && (unrun || q.effect == Safe || q.effect == Keyed && q.c.Group == GroupAll) {
 		// The advice is spread by lot: those refused at once must not all be back at once.
 		advice := f.s.MaxAdvice * adviceShare * (0.5 + f.rng.Float64())
 		if !f.s.CanAdvise {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -1048,3 +1048,66 @@
 		t.Errorf("the wait behind loads of 1000 and 2000 ms is %.0f", got)
 	}
 }
+
+// A request marked Once is not sent again once it may have run, is never moved by us, and its failure makes no promise,
+// whatever its class allows; turned away unseen, it goes out again.
+func TestOnce(t *testing.T) {
+	for _, class := range []string{"quick", "keyed"} {
+		for _, c := range []struct {
+			result Result
+			again  bool
+		}{{Full, true}, {Moot, true}, {Error, false}, {Reset, false}, {Timeout, false}, {Cancelled, false}} {
+			r := newRig(t, base(), eng("e1"), eng("e2"))
+			q := req("q", class, r)
+			q.Once = true
+			s := r.one(r.step(1, q))
+			acts := r.step(5, Outcome{Request: "q", Engine: s.Engine, Result: c.result, Took: 5})
+			for i := 0; i < 20 && len(sends(acts)) == 0 && len(finals(acts)) == 0; i++ {
+				acts = r.step(60, Timer{"check"})
+			}
+			if got := len(sends(acts)) == 1; got != c.again {
+				t.Errorf("%s, %v: sent again %v", class, c.result, got)
+			}
+			if f := finals(acts); !c.again && (len(f) != 1 || f[0] != "fail q") {
+				t.Errorf("%s, %v: %v", class, c.result, f)
+			}
+		}
+	}
+	r := newRig(t, base(), eng("e1"), eng("e2"))
+	q := req("q", "quick", r)
+	q.Once = true
+	r.one(r.step(1, q))
+	for range 15 { // silent for far longer than a query of its class
+		for _, a := range r.step(100, Timer{"check"}) {
+			if _, ok := a.(Cancel); ok {
+				t.Fatal("it is moved")
+			}
+		}
+	}
+}
+
+// A learned estimate is not corrected by what told ones are off by, nor does it teach that correction.
+func TestLearnedEstimate(t *testing.T) {
+	r := newRig(t, base(), eng("e1"))
+	for i := range 300 {
+		q := req(fmt.Sprint("q", i), "quick", r)
+		q.Work = 400
+		r.one(r.step(1, q))
+		r.step(50, Outcome{Request: q.ID, Engine: "e1", Result: OK, Took: 50, Work: 100, Ended: true})
+	}
+	c := r.f.classes["quick"]
+	if c.hintRatio > 0.3 {
+		t.Fatalf("told estimates are corrected by %v", c.hintRatio)
+	}
+	was := c.hintRatio
+	q := req("l", "quick", r)
+	q.Work, q.Learned = 400, true
+	r.step(1, q)
+	if got := r.f.work(r.f.requests["l"]); got != 400 {
+		t.Errorf("a learned estimate of 400 counts as %v", got)
+	}
+	r.step(50, Outcome{Request: "l", Engine: "e1", Result: OK, Took: 50, Work: 400, Ended: true})
+	if c.hintRatio != was {
+		t.Errorf("it changes the correction from %v to %v", was, c.hintRatio)
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -111,6 +111,7 @@
 type request struct {
 	Request
 	c              *class
+	effect         Effect // its class's, or Unsafe
 	key            *key
 	arrived, aimAt float64
 	worth, density float64
@@ -489,6 +490,22 @@
 	return math.Min(rate*f.lockWait()/lockSpan/float64(len(f.homes(q))), 1)
 }
 
+// effect is what a repeat of a request may do.
+func effect(r Request, c *class) Effect {
+	if r.Once {
+		return Unsafe
+	}
+	return c.Effect
+}
+
+// hint is what an estimate has to be multiplied with.
+func (q *request) hint() float64 {
+	if q.Learned {
+		return 1
+	}
+	return q.c.hintRatio
+}
+
 // blame counts an error against its engine. Danger: a request that fails wherever it goes would have every engine
 // paused; from the second engine on it counts against none.
 func (f *Front) blame(q *request, e *engine) {
--- a/cmd/thymeway/main.go
+++ b/cmd/thymeway/main.go
@@ -3,15 +3,22 @@
 package main
 
 import (
-	"log"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strings"
 	"syscall"
 
+	"github.com/alecthomas/kong"
+
 	"thymeway/internal/config"
 	"thymeway/internal/deadline"
 	"thymeway/internal/link"
+	"thymeway/internal/logs"
 	"thymeway/internal/net"
 	"thymeway/internal/node"
 )
@@ -21,25 +28,121 @@
 	garbage     = 200 // percent that the heap may grow between collections
 )
 
+// commands is the command line.
+type commands struct {
+	Config   string   `help:"Our own settings." default:"${own}" env:"THYMEWAY_INI" type:"path" placeholder:"FILE"`
+	Serve    struct{} `cmd:"" default:"1" help:"Serve until SIGTERM; the default. EDGE_CONFIG names the platform's configuration."`
+	Check    struct{} `cmd:"" help:"Read every configuration, report all faults and exit with 1 if there is one."`
+	Settings struct{} `cmd:"" help:"Print all of our own settings with their defaults."`
+	Version  struct{} `cmd:"" help:"Print the version."`
+}
+
 func main() {
-	log.SetFlags(log.LUTC | log.Ldate | log.Lmicroseconds)
+	slog.SetDefault(logs.New(os.Stderr, slog.LevelInfo))
 	// Danger: SIGHUP ends a program that does not ask for it, so it is asked for before anything else.
 	signals := make(chan os.Signal, 16)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	c, err := read()
+	os.Exit(run(os.Args[1:], os.Getenv, os.Stdout, signals))
+}
+
+// run carries a command line out and tells with which code the program ends.
+func run(args []string, getenv func(string) string, out io.Writer, signals <-chan os.Signal) int {
+	var line commands
+	p, err := kong.New(&line, kong.Name("thymeway"), kong.Vars{"own": config.OwnFile}, kong.Writers(out, out),
+		kong.Description("A coordinator in front of a fleet of query engines."))
+	if err != nil {
+		fmt.Fprintln(out, err)
+		return 1
+	}
+	ctx, err := p.Parse(args)
 	if err != nil {
-		log.Fatalf("event=configuration-refused error=%q", err)
+		fmt.Fprintf(out, "thymeway: %v; see thymeway --help\n", err)
+		return 2
+	}
+	own := line.Config
+	if getenv("THYMEWAY_INI") == "" && !strings.Contains(strings.Join(args, " "), "--config") {
+		own = config.OwnFile // kong makes an absolute path of it, which is no longer the one that may be missing
+	}
+	read := func() (config.Config, error) { return config.FromEnvironment(getenv, own) }
+	switch ctx.Command() {
+	case "check":
+		return check(read, getenv, out)
+	case "settings":
+		config.WriteDefaults(out)
+	case "version":
+		fmt.Fprintln(out, version())
+	default:
+		c, err := read()
+		if err != nil {
+			for _, f := range faults(err) {
+				slog.Error("configuration-refused", "error", f)
+			}
+			return 1
+		}
+		slog.SetDefault(logs.New(os.Stderr, c.Own.LogLevel))
+		if err := serve(c, read, signals); err != nil {
+			slog.Error("stopped", "error", err)
+			return 1
+		}
+		slog.Info("stopped", "name", c.Name)
+	}
+	return 0
+}
+
+// faults are the single faults that an error joins.
+func faults(err error) (all []error) {
+	for {
+		if j, ok := err.(interface{ Unwrap() []error }); ok {
+			for _, e := range j.Unwrap() {
+				all = append(all, faults(e)...)
+			}
+			return all
+		}
+		next := errors.Unwrap(err)
+		if _, joined := next.(interface{ Unwrap() []error }); !joined {
+			return []error{err}
+		}
+		prefix := strings.TrimSuffix(err.Error(), next.Error())
+		for _, e := range faults(next) {
+			all = append(all, fmt.Errorf("%s%w", prefix, e))
+		}
+		return all
 	}
-	if err := serve(c, signals); err != nil {
-		log.Fatalf("event=stopped error=%q", err)
+}
+
+func check(read func() (config.Config, error), getenv func(string) string, out io.Writer) int {
+	c, err := read()
+	if err != nil {
+		for _, f := range faults(err) {
+			fmt.Fprintln(out, f)
+		}
+		return 1
 	}
-	log.Printf("event=stopped name=%s", c.Name)
+	fmt.Fprintf(out, "ok: %s serves %s with %d classes, %d tenants and %.0f MB\n", c.Name, c.Listen, len(c.Choice.Classes), len(c.Choice.Tenants), c.MemoryMB)
+	return 0
 }
 
-func read() (config.Config, error) { return config.FromEnvironment(os.Getenv) }
+// version is what the build was made of.
+func version() string {
+	v, info := "thymeway", map[string]string{}
+	b, ok := debug.ReadBuildInfo()
+	if !ok {
+		return v
+	}
+	for _, s := range b.Settings {
+		info[s.Key] = s.Value
+	}
+	if r := info["vcs.revision"]; r != "" {
+		v += " " + r[:min(12, len(r))]
+		if info["vcs.modified"] == "true" {
+			v += "+changes"
+		}
+	}
+	return v + " " + b.GoVersion
+}
 
 // serve runs until SIGTERM, and on until all that was taken is answered. SIGHUP reads the configuration anew.
-func serve(c config.Config, signals <-chan os.Signal) error {
+func serve(c config.Config, read func() (config.Config, error), signals <-chan os.Signal) error {
 	debug.SetMemoryLimit(int64(c.MemoryMB * memoryShare * (1 << 20)))
 	debug.SetGCPercent(garbage)
 	queue := deadline.New()
@@ -51,7 +154,7 @@
 	loop.Accept = func() link.Handler { return n.Sessions.Accept() }
 	loop.Turn = n.Coordinator.Turn
 	loop.Ready = func() {
-		log.Printf("event=ready name=%s listen=%s classes=%d", c.Name, c.Listen, len(c.Choice.Classes))
+		slog.Info("ready", "name", c.Name, "listen", c.Listen, "classes", len(c.Choice.Classes), "rss_kb", resident())
 		n.Watch.Start()
 	}
 	go func() {
@@ -67,3 +170,17 @@
 	}()
 	return loop.Run(c.Listen)
 }
+
+// resident is the program's resident memory in KB, 0 where the system does not tell.
+func resident() (kb int) {
+	text, err := os.ReadFile("/proc/self/status")
+	if err != nil {
+		return 0
+	}
+	for _, line := range strings.Split(string(text), "\n") {
+		if _, err := fmt.Sscanf(line, "VmRSS: %d kB", &kb); err == nil {
+			return kb
+		}
+	}
+	return 0
+}
--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -5,7 +5,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"log"
+	"log/slog"
 	"math"
 	"net/netip"
 	"strconv"
@@ -174,7 +174,7 @@
 	if f.w.cur != f {
 		return
 	}
-	log.Printf("event=board-lost why=%q end=%s rev=%d", why, e, f.w.rev)
+	slog.Warn("board-lost", "why", why, "end", e, "rev", f.w.rev)
 	f.w.cur = nil
 	if f.c != nil {
 		f.c.Close()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -4,9 +4,11 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/netip"
 	"os"
+	"slices"
 	"strconv"
 
 	"thymeway/choice"
@@ -24,6 +26,7 @@
 	Board    string
 	Known    json.RawMessage // as the notice board would write it; package board reads it
 	Choice   choice.Settings
+	Own      Own
 	// The settings that concern the program and not the decisions, in ms.
 	ConnectTimeout float64
 	ConnIdle       float64
@@ -63,8 +66,23 @@
 	defaultSlack   = 20.0
 )
 
-// FromEnvironment reads EDGE_CONFIG and the file that it names. EDGE_NAME and EDGE_LISTEN go before the file.
-func FromEnvironment(getenv func(string) string) (Config, error) {
+// FromEnvironment reads EDGE_CONFIG and the file that it names, and our own settings in the file own. EDGE_NAME and
+// EDGE_LISTEN go before the file. The error joins the faults of both.
+func FromEnvironment(getenv func(string) string, own string) (Config, error) {
+	c, err := platform(getenv)
+	o, fault := ReadOwn(own)
+	c.Own = o
+	if fault == nil && err == nil {
+		for class := range o.Roles {
+			if !slices.ContainsFunc(c.Choice.Classes, func(k choice.Class) bool { return k.Name == class }) {
+				fault = errors.Join(fault, fmt.Errorf("%s: [class %s]: no class of that name in settings.categories", own, class))
+			}
+		}
+	}
+	return c, errors.Join(err, fault)
+}
+
+func platform(getenv func(string) string) (Config, error) {
 	path := getenv("EDGE_CONFIG")
 	if path == "" {
 		return Config{}, fmt.Errorf("EDGE_CONFIG: not set; it names the configuration file")
@@ -82,7 +100,11 @@
 	if err := json.Unmarshal(text, &f); err != nil {
 		return Config{}, fmt.Errorf("configuration: %s", jsonFault(err))
 	}
-	c := Config{Name: first(name, f.Name), Listen: first(listen, f.Listen), Board: f.Board, Known: f.Known,
+	ours, err := ParseOwn(nil)
+	if err != nil {
+		return Config{}, err
+	}
+	c := Config{Own: ours, Name: first(name, f.Name), Listen: first(listen, f.Listen), Board: f.Board, Known: f.Known,
 		Cores: value(f.Limits.Cores, defaultCores), MemoryMB: value(f.Limits.MemoryMB, defaultMemory),
 		Sockets: value(f.Limits.Sockets, defaultSockets)}
 	if c.Name == "" {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -4,11 +4,13 @@
 
 import (
 	"fmt"
-	"log"
+	"log/slog"
 
 	"thymeway/choice"
 	"thymeway/internal/deadline"
 	"thymeway/internal/link"
+	"thymeway/internal/shape"
+	"thymeway/internal/tally"
 )
 
 // Request is a client's request, whatever protocol brought it.
@@ -16,7 +18,10 @@
 	choice.Request
 	Idem      string // the client's idempotency key
 	Statement string
+	Dialect   shape.Dialect
+	Shape     *shape.Shape // what the statement is taken for; see Recognise
 	Client    Client
+	told      float64 // the estimate of the work that came with it
 }
 
 // Client is owed one of these calls for each request, once; none after Drop.
@@ -82,18 +87,29 @@
 	events    []choice.Event
 	owed      int
 	classes   map[string]choice.Class
-	tenants   map[string]bool
+	tenants   map[string]int // their places in the settings
+	read      Reading
+	roles     map[string]shape.Role
+	doubted   [shape.Doubts]uint64
+}
+
+// Reading is how statements are recognised.
+type Reading struct {
+	Shapes    *shape.Book
+	Role      func(class string) shape.Role
+	Estimates bool // requests without an estimate get the learned one
+	Faults    *tally.Tally
 }
 
 // New starts a front. wake must cause a call of Turn soon, and never from within itself.
-func New(s choice.Settings, now func() float64, d *deadline.Queue, e Engines, wake func()) *Coordinator {
-	c := &Coordinator{front: choice.New(s, now()), now: now, deadlines: d, engines: e, wake: wake,
-		requests: map[string]*open{}, classes: map[string]choice.Class{}, tenants: map[string]bool{}}
+func New(s choice.Settings, now func() float64, d *deadline.Queue, e Engines, wake func(), r Reading) *Coordinator {
+	c := &Coordinator{front: choice.New(s, now()), now: now, deadlines: d, engines: e, wake: wake, read: r,
+		requests: map[string]*open{}, classes: map[string]choice.Class{}, tenants: map[string]int{}, roles: map[string]shape.Role{}}
 	for _, k := range s.Classes {
-		c.classes[k.Name] = k
+		c.classes[k.Name], c.roles[k.Name] = k, r.Role(k.Name)
 	}
-	for _, t := range s.Tenants {
-		c.tenants[t.Name] = true
+	for i, t := range s.Tenants {
+		c.tenants[t.Name] = i
 	}
 	return c
 }
@@ -104,7 +120,7 @@
 	switch {
 	case !ok:
 		return fmt.Errorf("no class %q", r.Class)
-	case len(c.tenants) > 0 && !c.tenants[r.Tenant]:
+	case len(c.tenants) > 0 && !c.knows(r.Tenant):
 		return fmt.Errorf("no tenant %q", r.Tenant)
 	case k.Effect == choice.Keyed && r.Idem == "":
 		return fmt.Errorf("class %s needs an idempotency key", r.Class)
@@ -114,6 +130,41 @@
 	return nil
 }
 
+func (c *Coordinator) knows(tenant string) bool {
+	_, ok := c.tenants[tenant]
+	return ok
+}
+
+// Recognise tells what a request's statement is: it sets Shape and Tables, once.
+func (c *Coordinator) Recognise(r *Request) {
+	if r.Shape == nil {
+		r.Shape = c.read.Shapes.Look(r.Statement, r.Dialect, c.tenants[r.Tenant])
+		r.Tables = r.Shape.Group
+	}
+}
+
+// judge puts a request whose statement does not bear what its class promises on the safe default: it is taken and
+// passed on as it is, but never sent again once it may have run. Danger: a write told as a lookup would run twice.
+func (c *Coordinator) judge(r *Request) {
+	c.Recognise(r)
+	if d := shape.Judge(c.roles[r.Class], &r.Shape.Info); d != shape.Sure {
+		r.Once = true
+		c.doubted[d]++
+		c.read.Faults.Add("statement-doubted", "why", d, "class", r.Class, "kind", r.Shape.Kind, "shape", r.Shape.Name())
+	}
+	if r.told = r.Work; r.Work <= 0 && c.read.Estimates {
+		if e := c.read.Shapes.Estimate(r.Shape); e.Usable() {
+			r.Work, r.Learned = e.Work, true
+			if r.Mem <= 0 {
+				r.Mem = e.Mem
+			}
+		}
+	}
+}
+
+// Doubted is how many requests were put on the safe default for a reason.
+func (c *Coordinator) Doubted(d shape.Doubt) uint64 { return c.doubted[d] }
+
 // Owed is the number of requests without their answer.
 func (c *Coordinator) Owed() int { return c.owed }
 
@@ -129,6 +180,7 @@
 		r.Client.Fail("a request with this id is still open")
 		return
 	}
+	c.judge(r)
 	c.requests[r.ID] = &open{Request: r}
 	c.owed++
 	c.tell(r.Request)
@@ -180,6 +232,9 @@
 		return
 	}
 	q.out--
+	if o.End == link.Served {
+		c.read.Shapes.Learn(q.Shape, q.told, o.Work, o.Mem)
+	}
 	if o.End == link.Served && !q.ended {
 		q.Client.Serve(o.Pages)
 		c.end(q)
@@ -243,7 +298,7 @@
 	case choice.Probe:
 		c.engines.Probe(a.Engine)
 	case choice.Log:
-		log.Printf("event=module text=%q", a.Text)
+		slog.Info("module", "text", a.Text)
 	}
 	// Subscribe and Tell have no counterpart: the notice board tells without being asked, and coordinators do
 	// not talk to each other.
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -7,7 +7,8 @@
 	"errors"
 	"fmt"
 	"io"
-	"log"
+	"log/slog"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -78,7 +79,7 @@
 	if !l.booted {
 		l.booted = true
 		if err := l.boot(); err != nil {
-			log.Printf("event=boot-failed error=%q", err)
+			slog.Error("boot-failed", "error", err)
 			return time.Hour, gnet.Shutdown
 		}
 	}
@@ -141,7 +142,7 @@
 		return nil
 	}))
 	if err != nil {
-		log.Printf("event=loop-refuses error=%q", err)
+		slog.Error("loop-refuses", "error", err)
 	}
 }
 
@@ -296,11 +297,12 @@
 func (logger) Debugf(string, ...any) {}
 func (logger) Infof(string, ...any)  {}
 func (logger) Warnf(format string, args ...any) {
-	log.Printf("event=gnet level=warn text=%q", fmt.Sprintf(format, args...))
+	slog.Warn("gnet", "text", fmt.Sprintf(format, args...))
 }
 func (logger) Errorf(format string, args ...any) {
-	log.Printf("event=gnet level=error text=%q", fmt.Sprintf(format, args...))
+	slog.Error("gnet", "text", fmt.Sprintf(format, args...))
 }
 func (logger) Fatalf(format string, args ...any) {
-	log.Fatalf("event=gnet level=fatal text=%q", fmt.Sprintf(format, args...))
+	slog.Error("gnet", "text", fmt.Sprintf(format, args...))
+	os.Exit(1)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,7 +3,7 @@
 package node
 
 import (
-	"log"
+	"log/slog"
 	"math/rand"
 
 	"thymeway/internal/board"
@@ -13,6 +13,7 @@
 	"thymeway/internal/link"
 	"thymeway/internal/pg"
 	"thymeway/internal/rest"
+	"thymeway/internal/shape"
 	"thymeway/internal/tally"
 )
 
@@ -37,6 +38,7 @@
 	Coordinator *coordinator.Coordinator
 	Sessions    *pg.Sessions
 	Watch       *board.Watch
+	Shapes      *shape.Book
 	fleet       *rest.Fleet
 	queue       *deadline.Queue
 	now         func() float64
@@ -49,10 +51,12 @@
 	faults := &tally.Tally{Now: now}
 	fleet := &rest.Fleet{Dialer: d, Deadlines: queue, Now: now, Faults: faults, ConnectTimeout: c.ConnectTimeout,
 		ConnIdle: c.ConnIdle * idleShare, MostWires: int(float64(c.Sockets) * engineShare)}
-	coord := coordinator.New(c.Choice, now, queue, fleet, wake)
+	book := shape.NewBook(shape.Options{Bytes: c.ShapeBytes(), Seed: c.Seed})
+	coord := coordinator.New(c.Choice, now, queue, fleet, wake,
+		coordinator.Reading{Shapes: book, Role: c.Role, Estimates: c.Own.Shapes.Estimates, Faults: faults})
 	fleet.Watcher = coord
 	clients := max(c.Sockets-fleet.MostWires-reserve, 1)
-	n := &Node{Coordinator: coord, fleet: fleet, queue: queue, now: now, config: c,
+	n := &Node{Coordinator: coord, Shapes: book, fleet: fleet, queue: queue, now: now, config: c,
 		Sessions: &pg.Sessions{Coordinator: coord, Deadlines: queue, Faults: faults, Now: now, Margin: answerMargin, Most: clients,
 			MostInput: min(max(int(c.MemoryMB*(1<<20)*inputShare)/clients, leastInput), mostInput),
 			Random:    rand.New(rand.NewSource(int64(c.Seed) + 1))},
@@ -65,10 +69,10 @@
 func (n *Node) Reload(read func() (config.Config, error)) {
 	c, err := read()
 	if err != nil {
-		log.Printf("event=reload-refused error=%q", err)
+		slog.Error("reload-refused", "error", err)
 		return
 	}
-	log.Printf("event=reloaded board=%s for-restart=%q", c.Board, n.config.Fixed(c))
+	slog.Info("reloaded", "board", c.Board, "for-restart", n.config.Fixed(c))
 	n.Watch.Move(c.Board)
 }
 
@@ -79,7 +83,7 @@
 		return
 	}
 	n.leaving = true
-	log.Printf("event=leaving owed=%d", n.Coordinator.Owed())
+	slog.Info("leaving", "owed", n.Coordinator.Owed())
 	longest := 0.0
 	for _, c := range n.config.Choice.Classes {
 		longest = max(longest, c.Limit)
--- a/internal/pg/fields.go
+++ b/internal/pg/fields.go
@@ -6,7 +6,6 @@
 	"strings"
 
 	"thymeway/internal/coordinator"
-	"thymeway/internal/sql"
 )
 
 const (
@@ -19,7 +18,7 @@
 // read makes a request of a query's text, up to its deadline, of which it tells the limit. Each fault names
 // the field.
 func read(text string) (r *coordinator.Request, limit float64, err error) {
-	fields, statement, ok := sql.Fields(text)
+	fields, statement, ok := split(text)
 	if !ok {
 		return nil, 0, fmt.Errorf("no comment with the fields ahead of the statement")
 	}
@@ -72,10 +71,22 @@
 			return nil, 0, fmt.Errorf("field %s: missing", k)
 		}
 	}
-	r.Tables, _ = sql.Group(statement)
 	return r, limit, nil
 }
 
+// split cuts a text into that of the comment ahead of the statement and the statement behind it.
+func split(text string) (fields, statement string, ok bool) {
+	text = strings.TrimLeft(text, " \t\r\n")
+	if !strings.HasPrefix(text, "/*") {
+		return "", text, false
+	}
+	i := strings.Index(text, "*/")
+	if i < 2 {
+		return "", "", false
+	}
+	return strings.TrimSpace(text[2:i]), strings.TrimLeft(text[i+2:], " \t\r\n"), true
+}
+
 // word is a text that can stand in a header as it is.
 func word(v string) (string, error) {
 	if v == "" || len(v) > mostName {
--- a/internal/pg/session.go
+++ b/internal/pg/session.go
@@ -13,7 +13,6 @@
 	"thymeway/internal/coordinator"
 	"thymeway/internal/deadline"
 	"thymeway/internal/link"
-	"thymeway/internal/sql"
 	"thymeway/internal/tally"
 )
 
@@ -105,7 +104,6 @@
 	pid     uint32
 	secret  uint32
 	req     *coordinator.Request
-	verb    string
 	in      *list.List // silent or resting
 	place   *list.Element
 	late    deadline.Entry // the end of the wait for a whole message
@@ -134,7 +132,7 @@
 	if a.Most > 0 && a.count > a.Most && !a.push() {
 		s.excess = true
 		if a.count > a.Most+mostExcess { // danger: with no descriptor left, nobody could connect or be served
-			a.Faults.Add("client-excess", "sessions=%d", a.count)
+			a.Faults.Add("client-excess", "sessions", a.count)
 			s.close()
 			return
 		}
@@ -225,7 +223,7 @@
 
 // fault answers a message that can't be used.
 func (s *Session) fault(code, text string) {
-	s.all.Faults.Add("client-fault", "code=%s error=%q", code, text)
+	s.all.Faults.Add("client-fault", "code", code, "error", text)
 	if s.faults++; s.faults > mostFaults {
 		s.fail("FATAL", code, text)
 		s.close()
@@ -334,7 +332,7 @@
 	}
 	r.Deadline = s.all.Now() + limit - math.Min(s.all.Margin, limit*marginMost)
 	r.Client = s
-	s.req, s.verb, s.faults = r, sql.Verb(r.Statement), 0
+	s.req, s.faults = r, 0
 	s.all.Coordinator.Take(r)
 }
 
@@ -353,9 +351,10 @@
 
 // Serve answers with a whole result.
 func (s *Session) Serve(pages [][]byte) {
+	verb := s.req.Shape.Verb
 	s.answered()
 	w := writer{b: make([]byte, 0, 1024)}
-	w.result(pages, s.verb)
+	w.result(pages, verb)
 	w.ready()
 	s.c.Write(w.b)
 	s.proceed()
@@ -381,7 +380,7 @@
 
 // fatal answers what can't be read, and ends the session. What still comes is not read.
 func (s *Session) fatal(event, code, text string) {
-	s.all.Faults.Add(event, "code=%s error=%q", code, text)
+	s.all.Faults.Add(event, "code", code, "error", text)
 	s.fail("FATAL", code, text)
 	s.close()
 }
--- a/internal/rest/attempt.go
+++ b/internal/rest/attempt.go
@@ -159,7 +159,7 @@
 // askAnew asks for the news again, as what came is spoilt: the query has run, and its worker group gives the answer
 // again. Danger: a new attempt would run it twice, and this one might still be out.
 func (a *attempt) askAnew(what string, r *reply) {
-	a.f.Faults.Add("engine-spoilt", "engine=%s what=%s status=%d bytes=%d", a.Engine, what, r.status, len(r.body))
+	a.f.Faults.Add("engine-spoilt", "engine", a.Engine, "what", what, "status", r.status, "bytes", len(r.body))
 	a.g.spoil()
 	if a.spoilt++; a.spoilt > mostSpoilt {
 		a.revoke(link.Garbled)
@@ -204,7 +204,7 @@
 		case r.status/100 == 5: // the page is lost
 			a.finish(link.Failed)
 		default:
-			a.f.Faults.Add("engine-spoilt", "engine=%s what=page status=%d bytes=%d", a.Engine, r.status, len(r.body))
+			a.f.Faults.Add("engine-spoilt", "engine", a.Engine, "what", "page", "status", r.status, "bytes", len(r.body))
 			a.g.spoil()
 			again(link.Garbled)
 		}
--- a/internal/rest/pool.go
+++ b/internal/rest/pool.go
@@ -248,14 +248,14 @@
 func (w *wire) Received(b []byte) {
 	f := w.g.f
 	if w.call == nil {
-		f.Faults.Add("engine-unasked", "engine=%s addr=%s bytes=%d", w.g.id, w.addr, len(b))
+		f.Faults.Add("engine-unasked", "engine", w.g.id, "addr", w.addr, "bytes", len(b))
 		w.unidle()
 		w.close()
 		return
 	}
 	r, err := w.parser.take(b)
 	if err != nil {
-		f.Faults.Add("engine-garbled", "engine=%s addr=%s bytes=%d error=%q", w.g.id, w.addr, len(b), err)
+		f.Faults.Add("engine-garbled", "engine", w.g.id, "addr", w.addr, "bytes", len(b), "error", err)
 		w.close()
 		w.end(link.Garbled)
 		return
--- a/internal/shape/info.go
+++ b/internal/shape/info.go
@@ -43,10 +43,10 @@
 	UnknownKind                // none of the above, yet its kind is not known
 	ClassWrites                // told as a class that reads, it writes
 	ClassControls              // told as a class that reads, it controls
-	doubts
+	Doubts                     // how many there are
 )
 
-var doubtNames = [doubts]string{"", "malformed", "over-long", "unknown-word", "name-hidden", "several-statements", "do-body", "dynamic",
+var doubtNames = [Doubts]string{"", "malformed", "over-long", "unknown-word", "name-hidden", "several-statements", "do-body", "dynamic",
 	"function-with-effects", "schema-function", "reaches-elsewhere", "many-groups", "unknown-kind", "class-reads-text-writes", "class-reads-text-controls"}
 
 func (d Doubt) String() string { return doubtNames[d] }
@@ -99,9 +99,11 @@
 
 // Judge tells why a request's statement does not bear what its class promises, Sure if it does. A class that reads
 // may be repeated at will: a text under it that may write must not be. A class that writes is bound by its own rules,
-// which a text that only reads can't break.
+// which a text that only reads, or is known to write, can't break.
 func Judge(r Role, i *Info) Doubt {
 	switch {
+	case r == Writes && i.Kind == Write:
+		return Sure
 	case i.Doubt != Sure:
 		return i.Doubt
 	case i.Kind == Unknown:
--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -2,7 +2,7 @@
 // a flood of lines.
 package tally
 
-import "log"
+import "log/slog"
 
 const every = 10000.0 // ms between two lines of a kind
 
@@ -17,8 +17,9 @@
 	at float64
 }
 
-// Add counts a fault. The line tells how many came since the last one of its kind, and the latest of them.
-func (t *Tally) Add(name, format string, args ...any) {
+// Add counts a fault. The line tells how many came since the last one of its kind, and the latest of them; args are
+// keys and values, as slog takes them.
+func (t *Tally) Add(name string, args ...any) {
 	if t.seen == nil {
 		t.seen = map[string]*kind{}
 	}
@@ -30,6 +31,6 @@
 	if k.n++; t.Now()-k.at < every {
 		return
 	}
-	log.Printf("event="+name+" n=%d "+format, append([]any{k.n}, args...)...)
+	slog.Warn(name, append([]any{"n", k.n}, args...)...)
 	k.n, k.at = 0, t.Now()
 }
