--- a/cmd/thymeway/main.go
+++ b/cmd/thymeway/main.go
@@ -168,7 +168,9 @@
 			})
 		}
 	}()
-	return loop.Run(c.Listen)
+	err = loop.Run(c.Listen)
+	n.Close()
+	return err
 }
 
 // resident is the program's resident memory in KB, 0 where the system does not tell.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"thymeway/internal/pg"
 	"thymeway/internal/rest"
 	"thymeway/internal/shape"
+	"thymeway/internal/snapshot"
 	"thymeway/internal/tally"
 )
 
@@ -25,12 +26,14 @@
 	inputShare   = 0.1      // of the memory, for bytes from clients that wait
 	leastInput   = 16 << 10 // bytes of a message that are read at least
 	mostInput    = 256 << 10
-	stayAfter    = 800.0  // ms that new requests may still come after SIGTERM
-	stayCheck    = 20.0   // ms between looks whether all is answered
-	killAfter    = 700.0  // ms after the longest deadline, or killMost, at which SIGKILL may come
-	killMost     = 3000.0 // ms
-	answerBefore = 350.0  // ms before that time by which all is answered
-	cancelWithin = 200.0  // ms from then for worker groups to hear what is given up
+	stayAfter    = 800.0    // ms that new requests may still come after SIGTERM
+	stayCheck    = 20.0     // ms between looks whether all is answered
+	killAfter    = 700.0    // ms after the longest deadline, or killMost, at which SIGKILL may come
+	killMost     = 3000.0   // ms
+	answerBefore = 350.0    // ms before that time by which all is answered
+	shapesATurn  = 128      // shapes that are written down in one turn
+	mostSnapshot = 64 << 20 // bytes of the file
+	cancelWithin = 200.0    // ms from then for worker groups to hear what is given up
 )
 
 // Node is a whole coordinator.
@@ -39,6 +42,7 @@
 	Sessions    *pg.Sessions
 	Watch       *board.Watch
 	Shapes      *shape.Book
+	keeper      *snapshot.Keeper // nil: shapes are not kept
 	fleet       *rest.Fleet
 	queue       *deadline.Queue
 	now         func() float64
@@ -52,6 +56,7 @@
 	fleet := &rest.Fleet{Dialer: d, Deadlines: queue, Now: now, Faults: faults, ConnectTimeout: c.ConnectTimeout,
 		ConnIdle: c.ConnIdle * idleShare, MostWires: int(float64(c.Sockets) * engineShare)}
 	book := shape.NewBook(shape.Options{Bytes: c.ShapeBytes(), Seed: c.Seed})
+	keeper := remember(book, c.Own.Shapes)
 	coord := coordinator.New(c.Choice, now, queue, fleet, wake,
 		coordinator.Reading{Shapes: book, Role: c.Role, Estimates: c.Own.Shapes.Estimates, Faults: faults})
 	fleet.Watcher = coord
@@ -61,9 +66,61 @@
 			MostInput: min(max(int(c.MemoryMB*(1<<20)*inputShare)/clients, leastInput), mostInput),
 			Random:    rand.New(rand.NewSource(int64(c.Seed) + 1))},
 		Watch: &board.Watch{Dialer: d, Deadlines: queue, Now: now, Listener: coord, Addr: c.Board, Connect: 2 * c.ConnectTimeout}}
+	if n.keeper = keeper; keeper != nil {
+		n.keep(c.Own.Shapes.Every)
+	}
 	return n, n.Watch.Known(c.Known)
 }
 
+// remember fills a Book from its file, if there is to be one. What can't be believed is told, and the Book stays empty.
+func remember(book *shape.Book, s config.Shapes) *snapshot.Keeper {
+	if s.File == "" {
+		return nil
+	}
+	payload, err := snapshot.Read(s.File, shape.DumpKind, shape.DumpVersion, mostSnapshot)
+	count := 0
+	if err == nil {
+		count, err = book.Load(payload)
+	}
+	if err != nil {
+		slog.Warn("shapes-empty", "file", s.File, "error", err)
+	} else {
+		slog.Info("shapes-loaded", "file", s.File, "shapes", count)
+	}
+	return snapshot.NewKeeper(s.File, shape.DumpKind, shape.DumpVersion)
+}
+
+// keep has the shapes written down now and then, a few in a turn.
+func (n *Node) keep(every float64) {
+	var d *shape.Dump
+	e := &deadline.Entry{}
+	e.Do = func() {
+		if d == nil {
+			d = n.Shapes.Dump()
+		}
+		if !d.Step(shapesATurn) {
+			n.queue.Set(e, n.now()+1)
+			return
+		}
+		n.keeper.Save(d.Bytes())
+		d = nil
+		n.queue.Set(e, n.now()+every)
+	}
+	n.queue.Set(e, n.now()+every)
+}
+
+// Close writes down what is to outlast the program. It comes after the last turn.
+func (n *Node) Close() {
+	if n.keeper == nil {
+		return
+	}
+	d := n.Shapes.Dump()
+	for !d.Step(shapesATurn) {
+	}
+	n.keeper.Save(d.Bytes())
+	n.keeper.Close()
+}
+
 // Reload takes a configuration read anew. A faulty one leaves all as it is; of a good one the board's address
 // counts, and the rest waits for a restart.
 func (n *Node) Reload(read func() (config.Config, error)) {
--- a/internal/shape/book.go
+++ b/internal/shape/book.go
@@ -35,6 +35,7 @@
 	reader   reader
 	seed     uint64
 	cache    *cache
+	bytes    int // as told
 	families map[uint16]*prior
 	kinds    [Write + 1]prior
 	stats    Stats
@@ -44,7 +45,7 @@
 
 // NewBook returns a Book that knows nothing.
 func NewBook(o Options) *Book {
-	return &Book{seed: o.Seed, cache: newCache(o.Bytes), families: map[uint16]*prior{}}
+	return &Book{seed: o.Seed, cache: newCache(o.Bytes), bytes: o.Bytes, families: map[uint16]*prior{}}
 }
 
 // Look tells what a statement is. The result stays valid; it is the same for equal shapes while it is remembered. owner
@@ -57,7 +58,7 @@
 	}
 	asker := uint8(owner) % Lanes
 	long := len(canon) > mostCanon
-	hash := xxh3.HashSeed(canon, b.seed)
+	hash := b.hashOf(canon)
 	if !long {
 		if s := b.cache.find(hash, canon, asker); s != nil {
 			b.stats.Hits++
@@ -74,6 +75,8 @@
 	return s
 }
 
+func (b *Book) hashOf(canon []byte) uint64 { return xxh3.HashSeed(canon, b.seed) }
+
 func (b *Book) make(canon []byte, hash uint64, asker uint8) *Shape {
 	return &Shape{Info: b.reader.read(string(canon)), ID: xxh3.Hash(canon), hash: hash, asker: asker}
 }
