Read HTTP by one strict parser, and give results one form inside the program

Need: a ClickHouse front and engine side speak HTTP too, and both kinds of clients have to get results of both kinds of engines.

Change: internal/http1 reads heads of requests and answers, and bodies with a length or in chunks, as bytes come; rest uses it, which takes each byte of a body once where it read the whole answer anew with each part. internal/result holds columns and whole rows of text; a ClickHouse text that is cut anywhere but between rows is told as torn. pg writes from it.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -9,6 +9,7 @@
 	"thymeway/choice"
 	"thymeway/internal/deadline"
 	"thymeway/internal/link"
+	"thymeway/internal/result"
 	"thymeway/internal/shape"
 	"thymeway/internal/tally"
 )
@@ -26,7 +27,7 @@
 
 // Client is owed one of these calls for each request, once; none after Drop.
 type Client interface {
-	Serve(pages [][]byte)
+	Serve(r *result.Set)
 	Refuse(comeBack float64) // ms; 0: no advice
 	Fail(why string)
 }
@@ -49,7 +50,7 @@
 	Took      float64
 	Work, Mem float64
 	Report    choice.Report
-	Pages     [][]byte
+	Result    *result.Set // of a good end
 }
 
 // Engines runs attempts. Each Send and each Probe gets one Ended or Probed.
@@ -236,7 +237,8 @@
 		c.read.Shapes.Learn(q.Shape, q.told, o.Work, o.Mem)
 	}
 	if o.End == link.Served && !q.ended {
-		q.Client.Serve(o.Pages)
+		o.Result.Verb = q.Shape.Verb
+		q.Client.Serve(o.Result)
 		c.end(q)
 	}
 	ended := q.ended
--- a/internal/pg/message.go
+++ b/internal/pg/message.go
@@ -1,11 +1,13 @@
 package pg
 
 import (
-	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
 	"strconv"
+	"strings"
+
+	"thymeway/internal/result"
 )
 
 // Codes of the messages without a type, in place of a protocol version.
@@ -118,19 +120,19 @@
 	w.close()
 }
 
-// result writes all rows of the pages, in order and unchanged, and the end of the command.
-func (w *writer) result(pages [][]byte, verb string) {
+// result writes all rows, in order and unchanged, and the end of the command.
+func (w *writer) result(r *result.Set) {
 	const oidText = 25
-	count, described := 0, false
+	count, described, verb, columns := 0, false, r.Verb, r.Cols()
 	describe := func() {
 		if described {
 			return
 		}
 		described = true
 		w.open('T')
-		w.int16(3)
-		for i := 1; i <= 3; i++ {
-			w.text("column" + strconv.Itoa(i))
+		w.int16(len(columns))
+		for _, c := range columns {
+			w.text(strings.ReplaceAll(c.Name, "\x00", ""))
 			w.int32(0)
 			w.int16(0)
 			w.int32(oidText)
@@ -143,23 +145,22 @@
 	if verb == "SELECT" || verb == "WITH" || verb == "" {
 		describe()
 	}
-	for _, p := range pages {
-		for len(p) > 0 {
-			var row []byte
-			row, p, _ = bytes.Cut(p, []byte("\n"))
-			describe()
-			w.open('D')
-			w.int16(3)
-			for i := 0; i < 3; i++ {
-				var col []byte
-				col, row, _ = bytes.Cut(row, []byte("\t"))
-				w.int32(uint32(len(col)))
-				w.b = append(w.b, col...)
+	_ = r.Each(func(row []result.Cell) error {
+		describe()
+		w.open('D')
+		w.int16(len(row))
+		for _, c := range row {
+			if c.Null {
+				w.int32(0xffffffff)
+				continue
 			}
-			w.close()
-			count++
+			w.int32(uint32(len(c.Text)))
+			w.b = append(w.b, c.Text...)
 		}
-	}
+		w.close()
+		count++
+		return nil
+	})
 	tag := verb + " " + strconv.Itoa(count)
 	switch verb {
 	case "INSERT":
--- a/internal/pg/session.go
+++ b/internal/pg/session.go
@@ -13,6 +13,7 @@
 	"thymeway/internal/coordinator"
 	"thymeway/internal/deadline"
 	"thymeway/internal/link"
+	"thymeway/internal/result"
 	"thymeway/internal/tally"
 )
 
@@ -350,11 +351,10 @@
 }
 
 // Serve answers with a whole result.
-func (s *Session) Serve(pages [][]byte) {
-	verb := s.req.Shape.Verb
+func (s *Session) Serve(r *result.Set) {
 	s.answered()
 	w := writer{b: make([]byte, 0, 1024)}
-	w.result(pages, verb)
+	w.result(r)
 	w.ready()
 	s.c.Write(w.b)
 	s.proceed()
--- a/internal/rest/attempt.go
+++ b/internal/rest/attempt.go
@@ -10,6 +10,7 @@
 	"thymeway/internal/coordinator"
 	"thymeway/internal/deadline"
 	"thymeway/internal/link"
+	"thymeway/internal/result"
 )
 
 // attempt is one run of a query on a worker group, from its POST to its end. Connections come and go under it.
@@ -141,7 +142,7 @@
 	case r.status == 200 && r.pages > 0 && r.pages <= mostPages && rows(r.body, r.pages == 1):
 		a.ended.Took = a.f.Now() - a.sent // the pages' way is ours and says nothing of the worker group
 		a.ended.Work, a.ended.Mem = r.work, r.peak
-		a.ended.Pages = make([][]byte, r.pages)
+		a.ended.Result = &result.Set{Pages: make([][]byte, r.pages)}
 		a.page(0, r)
 	case r.status == 503 && r.noEffect:
 		a.finish(link.Full)
@@ -171,13 +172,13 @@
 // page takes a page that can be used and asks for the next. Nothing goes to the client before all are here: what
 // can't be finished may then still be tried elsewhere.
 func (a *attempt) page(n int, r *reply) {
-	a.ended.Pages[n] = r.body
+	a.ended.Result.Pages[n] = r.body
 	a.known, a.spoilt = true, 0
-	if n+1 < len(a.ended.Pages) {
+	if n+1 < len(a.ended.Result.Pages) {
 		a.fetch(n + 1)
 		return
 	}
-	if size(a.ended.Pages) > mostResult {
+	if a.ended.Result.Size() > mostResult {
 		a.askAnew("size", r)
 		return
 	}
@@ -229,13 +230,6 @@
 	return true
 }
 
-func size(pages [][]byte) (n int) {
-	for _, p := range pages {
-		n += len(p)
-	}
-	return n
-}
-
 // cancel gives the attempt up. Danger: a request may have one attempt out, so its next send has to wait until
 // this one is known to be over: its DELETE is answered, its process is dead, or nobody has asked for it for so
 // long that the worker group has dropped it.
@@ -304,7 +298,7 @@
 	}
 	a.ended.End = e
 	if e != link.Served {
-		a.ended.Took, a.ended.Pages = a.f.Now()-a.sent, nil
+		a.ended.Took, a.ended.Result = a.f.Now()-a.sent, nil
 	}
 	a.f.Watcher.Ended(a.ended)
 }
--- a/internal/rest/reply.go
+++ b/internal/rest/reply.go
@@ -1,7 +1,6 @@
 package rest
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"math"
@@ -9,6 +8,7 @@
 	"strings"
 
 	"thymeway/choice"
+	"thymeway/internal/http1"
 )
 
 // Limits of what a worker group may write in one answer.
@@ -37,101 +37,60 @@
 // parser takes the bytes of a connection as they come and gives whole answers.
 type parser struct {
 	buf     []byte
+	head    *http1.Head // of the answer whose body is coming
+	body    *http1.Body
+	got     []byte
 	interim int
 }
 
-var errShort = errors.New("more bytes are needed")
-
 // take adds bytes and gives the answer that they complete. One call goes at a time, so a further byte belongs to
 // none: the answer is good, and the connection is of no further use.
 func (p *parser) take(b []byte) (*reply, error) {
 	p.buf = append(p.buf, b...)
-	for {
-		r, n, err := parse(p.buf)
-		if errors.Is(err, errShort) {
+	for p.head == nil {
+		h, n, err := http1.ParseResponse(p.buf, http1.Limits{Bytes: mostHead})
+		if errors.Is(err, http1.ErrShort) {
 			return nil, nil
 		}
 		if err != nil {
 			return nil, err
 		}
-		if r.status/100 == 1 { // an interim answer: the real one follows
-			if p.interim++; p.interim > mostInterim || r.status == 101 {
-				return nil, fmt.Errorf("status %d", r.status)
+		p.buf = append(p.buf[:0], p.buf[n:]...)
+		if h.Status/100 == 1 { // an interim answer: the real one follows
+			if p.interim++; p.interim > mostInterim || h.Status == 101 {
+				return nil, fmt.Errorf("status %d", h.Status)
 			}
-			p.buf = append(p.buf[:0], p.buf[n:]...)
 			continue
 		}
-		r.close = r.close || n < len(p.buf)
-		p.interim = 0
-		if p.buf = p.buf[:0]; cap(p.buf) > mostKept {
-			p.buf = nil
+		if p.body, err = h.Body(mostBody); err != nil {
+			return nil, err
 		}
-		return r, nil
+		p.head = h
 	}
-}
-
-// parse reads one answer from the start of b and tells its length.
-func parse(b []byte) (*reply, int, error) {
-	end := bytes.Index(b, []byte("\r\n\r\n"))
-	if end < 0 {
-		if len(b) > mostHead {
-			return nil, 0, fmt.Errorf("head over %d bytes", mostHead)
-		}
-		return nil, 0, errShort
+	got, used, err := p.body.TakeAll(p.got, p.buf)
+	p.got = got
+	if err != nil {
+		return nil, err
 	}
-	lines := strings.Split(string(b[:end]), "\r\n")
-	r := &reply{page: -1}
-	version, rest, _ := strings.Cut(lines[0], " ")
-	code, _, _ := strings.Cut(rest, " ")
-	var err error
-	if r.status, err = strconv.Atoi(code); err != nil || r.status < 100 || r.status > 599 || version != "HTTP/1.1" && version != "HTTP/1.0" {
-		return nil, 0, fmt.Errorf("status line %.60q", lines[0])
+	p.buf = append(p.buf[:0], p.buf[used:]...)
+	if !p.body.Done() {
+		return nil, nil
 	}
-	r.close = version == "HTTP/1.0"
-	length, chunked := -1, false
-	for _, line := range lines[1:] {
-		name, value, ok := strings.Cut(line, ":")
-		if !ok || name == "" {
-			return nil, 0, fmt.Errorf("header line %.60q", line)
-		}
-		if err := r.header(strings.ToLower(name), strings.TrimSpace(value), &length, &chunked); err != nil {
-			return nil, 0, fmt.Errorf("header %s: %v", name, err)
+	r := &reply{status: p.head.Status, page: -1, close: p.head.Close || len(p.buf) > 0, body: p.got}
+	for _, f := range p.head.Fields {
+		if err := r.header(f.Name, f.Value); err != nil {
+			return nil, fmt.Errorf("header %s: %v", f.Name, err)
 		}
 	}
-	n := end + 4
-	switch {
-	case r.status == 204 || r.status == 304 || r.status/100 == 1:
-		return r, n, nil
-	case chunked && length >= 0:
-		return nil, 0, errors.New("an answer with two lengths")
-	case chunked:
-		body, used, err := chunks(b[n:])
-		r.body = body
-		return r, n + used, err
-	case length < 0:
-		return nil, 0, errors.New("an answer without a length")
-	case len(b) < n+length:
-		return nil, 0, errShort
+	p.head, p.body, p.got, p.interim = nil, nil, nil, 0
+	if p.buf = p.buf[:0]; cap(p.buf) > mostKept {
+		p.buf = nil
 	}
-	r.body = append([]byte(nil), b[n:n+length]...)
-	return r, n + length, nil
+	return r, nil
 }
 
-func (r *reply) header(name, value string, length *int, chunked *bool) (err error) {
+func (r *reply) header(name, value string) (err error) {
 	switch name {
-	case "content-length":
-		before := *length
-		if *length, err = whole(value); err == nil && *length > mostBody {
-			err = fmt.Errorf("%d is over %d", *length, mostBody)
-		} else if err == nil && before >= 0 && before != *length {
-			err = fmt.Errorf("%d and %d", before, *length)
-		}
-	case "transfer-encoding":
-		if *chunked = strings.EqualFold(value, "chunked"); !*chunked {
-			err = fmt.Errorf("%q is unknown", value)
-		}
-	case "connection":
-		r.close = r.close && !strings.EqualFold(value, "keep-alive") || strings.EqualFold(value, "close")
 	case "x-no-effect":
 		r.noEffect = value == "1"
 	case "page-count":
@@ -199,33 +158,3 @@
 	}
 	return r, nil
 }
-
-// chunks reads a chunked body and tells its length on the wire.
-func chunks(b []byte) (body []byte, used int, err error) {
-	for {
-		i := bytes.Index(b[used:], []byte("\r\n"))
-		if i < 0 {
-			if len(b)-used > 64 {
-				return nil, 0, errors.New("chunk line over 64 bytes")
-			}
-			return nil, 0, errShort
-		}
-		text, _, _ := strings.Cut(string(b[used:used+i]), ";")
-		size, err := strconv.ParseUint(strings.TrimSpace(text), 16, 31)
-		if err != nil || len(body)+int(size) > mostBody {
-			return nil, 0, fmt.Errorf("chunk size %.40q", text)
-		}
-		used += i + 2
-		if len(b) < used+int(size)+2 {
-			return nil, 0, errShort
-		}
-		if string(b[used+int(size):used+int(size)+2]) != "\r\n" {
-			return nil, 0, errors.New("chunk without its end")
-		}
-		if size == 0 { // trailers are not used here
-			return body, used + 2, nil
-		}
-		body = append(body, b[used:used+int(size)]...)
-		used += int(size) + 2
-	}
-}
