Share places of clients, fields and listeners between protocols

Need: a second client protocol takes its connections from the same descriptors, reads the same fields, and needs a listener of its own.

--- a/cmd/thymeway/main.go
+++ b/cmd/thymeway/main.go
@@ -151,7 +151,7 @@
 	if err != nil {
 		return err
 	}
-	loop.Accept = func() link.Handler { return n.Sessions.Accept() }
+	loop.Accept = func(int) link.Handler { return n.Sessions.Accept() }
 	loop.Turn = n.Coordinator.Turn
 	loop.Ready = func() {
 		slog.Info("ready", "name", c.Name, "listen", c.Listen, "classes", len(c.Choice.Classes), "rss_kb", resident())
--- a/internal/pg/fields.go
+++ b/internal/fields/fields.go
@@ -1,4 +1,5 @@
-package pg
+// Package fields reads the comment ahead of a statement that carries what a request is: its class, id, deadline, member.
+package fields
 
 import (
 	"fmt"
@@ -15,9 +16,9 @@
 	mostMem   = 1e8     // MB of an estimate
 )
 
-// read makes a request of a query's text, up to its deadline, of which it tells the limit. Each fault names
+// Read makes a request of a query's text, up to its deadline, of which it tells the limit in ms. Each fault names
 // the field.
-func read(text string) (r *coordinator.Request, limit float64, err error) {
+func Read(text string) (r *coordinator.Request, limit float64, err error) {
 	fields, statement, ok := split(text)
 	if !ok {
 		return nil, 0, fmt.Errorf("no comment with the fields ahead of the statement")
@@ -38,7 +39,7 @@
 		seen[k] = true
 		switch k {
 		case "verb":
-			r.Class, err = word(v)
+			r.Class, err = Word(v)
 		case "txn":
 			r.ID, err = hex(v, 16)
 		case "limit":
@@ -46,19 +47,19 @@
 				err = fmt.Errorf("%.40q is not above 0", v)
 			}
 		case "team":
-			r.Tenant, err = word(v)
+			r.Tenant, err = Word(v)
 		case "second":
 			if r.Repeat = v == "1"; !r.Repeat {
 				err = fmt.Errorf("%.40q is not 1", v)
 			}
 		case "unique":
-			r.Idem, err = word(v)
+			r.Idem, err = Word(v)
 		case "cpu":
 			r.Work, err = amount(v, mostWork)
 		case "heap_mb":
 			r.Mem, err = amount(v, mostMem)
 		case "item":
-			r.Key, err = word(v)
+			r.Key, err = Word(v)
 		default:
 			err = fmt.Errorf("unknown")
 		}
@@ -74,6 +75,12 @@
 	return r, limit, nil
 }
 
+// There tells whether a text starts with such a comment, and not with one of another kind.
+func There(text string) bool {
+	f, _, ok := split(text)
+	return ok && strings.HasPrefix(f, "verb=")
+}
+
 // split cuts a text into that of the comment ahead of the statement and the statement behind it.
 func split(text string) (fields, statement string, ok bool) {
 	text = strings.TrimLeft(text, " \t\r\n")
@@ -87,8 +94,8 @@
 	return strings.TrimSpace(text[2:i]), strings.TrimLeft(text[i+2:], " \t\r\n"), true
 }
 
-// word is a text that can stand in a header as it is.
-func word(v string) (string, error) {
+// Word checks a text that has to stand in a header as it is: 1 to 128 signs, no space.
+func Word(v string) (string, error) {
 	if v == "" || len(v) > mostName {
 		return "", fmt.Errorf("%d bytes, 1 to %d may be", len(v), mostName)
 	}
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -24,12 +24,13 @@
 type Loop struct {
 	gnet.BuiltinEventEngine
 	Deadlines *deadline.Queue
-	Accept    func() link.Handler
+	Accept    func(listener int) link.Handler // by the number of the address that Run was given
 	Turn      func()
 	Ready     func() // runs once, on the loop, before any event
 	// ConnectTimeout is the time in ms in which a connection has to come up.
 	ConnectTimeout float64
 
+	addrs   []string
 	eng     gnet.Engine
 	el      atomic.Pointer[gnet.EventLoop]
 	booted  bool
@@ -46,8 +47,8 @@
 // Now is the system's Unix clock in ms, to the microsecond.
 func Now() float64 { return float64(time.Now().UnixMicro()) / 1000 }
 
-// Run serves an address until Stop.
-func (l *Loop) Run(addr string) error {
+// Run serves addresses of the form IP:PORT until Stop.
+func (l *Loop) Run(addrs ...string) error {
 	l.timer = time.NewTimer(time.Hour)
 	if err := l.dialer.open(l); err != nil {
 		return err
@@ -59,7 +60,12 @@
 		}
 	}()
 	// With ReusePort the one loop accepts by itself; without, gnet would run a second one for that.
-	err := gnet.Run(l, "tcp://"+addr, gnet.WithNumEventLoop(1), gnet.WithReusePort(true), gnet.WithTicker(true),
+	urls := make([]string, len(addrs))
+	for i, a := range addrs {
+		urls[i] = "tcp://" + a
+	}
+	l.addrs = addrs
+	err := gnet.Rotate(l, urls, gnet.WithNumEventLoop(1), gnet.WithReusePort(true), gnet.WithTicker(true),
 		gnet.WithReadBufferCap(64<<10), gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithLogger(logger{}))
 	if err == nil && !l.stopped { // gnet tells of what ended its loop in its log only
 		err = errors.New("the event loop ended by itself")
@@ -199,7 +205,7 @@
 	}
 	c, dialled := g.Context().(*conn)
 	if !dialled {
-		c = &conn{l: l, h: l.Accept()}
+		c = &conn{l: l, h: l.Accept(l.listener(g))}
 		g.SetContext(c)
 	}
 	c.g = g
@@ -211,6 +217,19 @@
 	return nil, gnet.None
 }
 
+// listener is the number of the address that a connection came to.
+func (l *Loop) listener(g gnet.Conn) int {
+	if len(l.addrs) > 1 {
+		at := g.LocalAddr().String()
+		for i, a := range l.addrs {
+			if a == at {
+				return i
+			}
+		}
+	}
+	return 0
+}
+
 // OnTraffic comes when there are bytes to read.
 func (l *Loop) OnTraffic(g gnet.Conn) gnet.Action {
 	b, _ := g.Next(-1)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"thymeway/internal/link"
 	"thymeway/internal/pg"
 	"thymeway/internal/rest"
+	"thymeway/internal/seats"
 	"thymeway/internal/shape"
 	"thymeway/internal/snapshot"
 	"thymeway/internal/tally"
@@ -61,8 +62,9 @@
 		coordinator.Reading{Shapes: book, Role: c.Role, Estimates: c.Own.Shapes.Estimates, Faults: faults})
 	fleet.Watcher = coord
 	clients := max(c.Sockets-fleet.MostWires-reserve, 1)
+	places := &seats.Seats{Most: clients, Faults: faults}
 	n := &Node{Coordinator: coord, Shapes: book, fleet: fleet, queue: queue, now: now, config: c,
-		Sessions: &pg.Sessions{Coordinator: coord, Deadlines: queue, Faults: faults, Now: now, Margin: answerMargin, Most: clients,
+		Sessions: &pg.Sessions{Coordinator: coord, Deadlines: queue, Faults: faults, Now: now, Margin: answerMargin, Seats: places,
 			MostInput: min(max(int(c.MemoryMB*(1<<20)*inputShare)/clients, leastInput), mostInput),
 			Random:    rand.New(rand.NewSource(int64(c.Seed) + 1))},
 		Watch: &board.Watch{Dialer: d, Deadlines: queue, Now: now, Listener: coord, Addr: c.Board, Connect: 2 * c.ConnectTimeout}}
--- a/internal/pg/session.go
+++ b/internal/pg/session.go
@@ -3,7 +3,6 @@
 package pg
 
 import (
-	"container/list"
 	"encoding/binary"
 	"fmt"
 	"math"
@@ -12,8 +11,10 @@
 
 	"thymeway/internal/coordinator"
 	"thymeway/internal/deadline"
+	"thymeway/internal/fields"
 	"thymeway/internal/link"
 	"thymeway/internal/result"
+	"thymeway/internal/seats"
 	"thymeway/internal/tally"
 )
 
@@ -40,7 +41,6 @@
 	mostATurn   = 32      // messages handled in one turn
 	mostUnread  = 1 << 20 // bytes that a client may leave unread
 	marginMost  = 0.1     // share of a client's limit that the margin for the way back may take
-	mostExcess  = 4       // sessions beyond Most that stay until they are told so
 )
 
 // Coordinator is the side that takes the requests.
@@ -57,15 +57,11 @@
 	Faults      *tally.Tally
 	Now         func() float64
 	Margin      float64 // ms by which an answer is due before the client's limit: the way back
-	Most        int     // sessions beyond these push out those that rest, or are refused
-	MostInput   int     // bytes of a message, and of what waits behind an open query
+	Seats       *seats.Seats
+	MostInput   int // bytes of a message, and of what waits behind an open query
 	Random      *rand.Rand
 	Leaving     bool // new queries are refused
 	open        map[uint32]*Session
-	count       int
-	// Sessions that may be closed without harm, the longest unused first: those that said nothing yet, and those
-	// that rest between two queries.
-	silent, resting list.List
 }
 
 // Pending is the number of bytes on their way to all clients that the system has not taken yet.
@@ -76,20 +72,6 @@
 	return n
 }
 
-// push closes a session that does no one any good now, if there is one. Danger: one whose bytes have come and were
-// not read yet has asked for something.
-func (a *Sessions) push() bool {
-	for _, l := range []*list.List{&a.silent, &a.resting} {
-		for e := l.Front(); e != nil; e = e.Next() {
-			if s := e.Value.(*Session); s.c.Quiet() {
-				s.close()
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // Session is one client's connection.
 type Session struct {
 	all     *Sessions
@@ -105,8 +87,7 @@
 	pid     uint32
 	secret  uint32
 	req     *coordinator.Request
-	in      *list.List // silent or resting
-	place   *list.Element
+	seat    *seats.Seat
 	late    deadline.Entry // the end of the wait for a whole message
 	again   deadline.Entry // when messages are handled again
 }
@@ -129,35 +110,27 @@
 func (s *Session) Opened(c link.Conn) {
 	a := s.all
 	s.c = c
-	a.count++
-	if a.Most > 0 && a.count > a.Most && !a.push() {
-		s.excess = true
-		if a.count > a.Most+mostExcess { // danger: with no descriptor left, nobody could connect or be served
-			a.Faults.Add("client-excess", "sessions", a.count)
-			s.close()
-			return
-		}
+	ok := false
+	if s.seat, s.excess, ok = a.Seats.Take(s); !ok {
+		s.close()
+		return
 	}
 	a.Deadlines.Set(&s.late, a.Now()+firstWithin)
-	s.rest(&a.silent)
+	s.seat.Silent()
 }
 
-// rest puts the session among those that may be closed; nil takes it out.
-func (s *Session) rest(l *list.List) {
-	if s.in != nil {
-		s.in.Remove(s.place)
-	}
-	if s.in = l; l != nil {
-		s.place = l.PushBack(s)
-	}
-}
+// Quiet and Push are for the seat.
+func (s *Session) Quiet() bool { return s.c.Quiet() }
+
+// Push makes the session give way.
+func (s *Session) Push() { s.close() }
 
 // Received takes bytes, however they are cut.
 func (s *Session) Received(b []byte) {
 	if s.closed {
 		return
 	}
-	s.rest(nil)
+	s.seat.Busy()
 	s.buf = append(s.buf, b...)
 	s.proceed()
 }
@@ -209,7 +182,7 @@
 	case len(s.buf) == 0:
 		s.buf = nil
 		if s.started && s.req == nil {
-			s.rest(&a.resting)
+			s.seat.Resting()
 		}
 	case !whole && !s.late.Waits():
 		a.Deadlines.Set(&s.late, a.Now()+firstWithin)
@@ -314,7 +287,7 @@
 		s.c.Write(w.b)
 		return
 	}
-	r, limit, err := read(text)
+	r, limit, err := fields.Read(text)
 	if err == nil {
 		err = s.all.Coordinator.Check(r)
 	}
@@ -403,8 +376,7 @@
 
 func (s *Session) gone() {
 	s.closed, s.buf = true, nil
-	s.all.count--
-	s.rest(nil)
+	s.seat.Leave()
 	s.all.Deadlines.Clear(&s.late)
 	s.all.Deadlines.Clear(&s.again)
 	if s.started {
--- a/internal/pg/session_test.go
+++ b/internal/pg/session_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"thymeway/internal/deadline"
+	"thymeway/internal/seats"
 	"thymeway/internal/tally"
 )
 
@@ -20,7 +21,7 @@
 // A flood of good messages takes several turns: other clients come in between.
 func TestTurns(t *testing.T) {
 	now := func() float64 { return 0 }
-	a := &Sessions{Deadlines: deadline.New(), Faults: &tally.Tally{Now: now}, Now: now, MostInput: 1 << 16, Random: rand.New(rand.NewSource(1))}
+	a := &Sessions{Deadlines: deadline.New(), Faults: &tally.Tally{Now: now}, Now: now, Seats: &seats.Seats{}, MostInput: 1 << 16, Random: rand.New(rand.NewSource(1))}
 	c, s := &sink{}, a.Accept()
 	s.Opened(c)
 	s.Received([]byte("\x00\x00\x00\x08\x00\x03\x00\x00"))
