Serve ClickHouse HTTP clients from the same coordinator

Need: some counters speak only the ClickHouse HTTP interface; their requests have to go through the same module under the same rules.

Change: internal/chhttp takes requests on a second listener ([clickhouse] listen, off by default): keep-alive, bounded pipelining, both forms of bodies, 100-continue, parameters, three ways of authentication but one at a time, content encodings and compressed blocks, greetings and KILL QUERY answered here, session locks, progress headers, and the text, JSON and binary formats. Class and table groups follow from the statement's shape, the deadline from max_execution_time and the class, the order key from a header or setting.

--- a/cmd/thymeway/main.go
+++ b/cmd/thymeway/main.go
@@ -17,7 +17,6 @@
 
 	"thymeway/internal/config"
 	"thymeway/internal/deadline"
-	"thymeway/internal/link"
 	"thymeway/internal/logs"
 	"thymeway/internal/net"
 	"thymeway/internal/node"
@@ -151,10 +150,10 @@
 	if err != nil {
 		return err
 	}
-	loop.Accept = func(int) link.Handler { return n.Sessions.Accept() }
+	loop.Accept = n.Accept
 	loop.Turn = n.Coordinator.Turn
 	loop.Ready = func() {
-		slog.Info("ready", "name", c.Name, "listen", c.Listen, "classes", len(c.Choice.Classes), "rss_kb", resident())
+		slog.Info("ready", "name", c.Name, "listen", strings.Join(n.Listen(), ","), "classes", len(c.Choice.Classes), "rss_kb", resident())
 		n.Watch.Start()
 	}
 	go func() {
@@ -168,7 +167,7 @@
 			})
 		}
 	}()
-	err = loop.Run(c.Listen)
+	err = loop.Run(n.Listen()...)
 	n.Close()
 	return err
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"net/netip"
 	"os"
-	"slices"
 	"strconv"
 
 	"thymeway/choice"
@@ -73,10 +72,8 @@
 	o, fault := ReadOwn(own)
 	c.Own = o
 	if fault == nil && err == nil {
-		for class := range o.Roles {
-			if !slices.ContainsFunc(c.Choice.Classes, func(k choice.Class) bool { return k.Name == class }) {
-				fault = errors.Join(fault, fmt.Errorf("%s: [class %s]: no class of that name in settings.categories", own, class))
-			}
+		if err := c.References(); err != nil {
+			fault = fmt.Errorf("%s: %w", own, err)
 		}
 	}
 	return c, errors.Join(err, fault)
--- a/internal/config/own.go
+++ b/internal/config/own.go
@@ -1,10 +1,12 @@
 package config
 
 import (
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"io"
 	"log/slog"
+	"net/netip"
 	"os"
 	"slices"
 	"strconv"
@@ -24,6 +26,26 @@
 	LogLevel slog.Level
 	Shapes   Shapes
 	Roles    map[string]shape.Role // by class; those that are not named follow the class's settings
+	CH       ClickHouse
+	Users    map[string]User   // none: each member is a user of its own name, without a password
+	Kinds    map[string]string // the protocol of a kind of engine, where it is not the platform's
+}
+
+// ClickHouse are the settings of the front that speaks its HTTP interface.
+type ClickHouse struct {
+	Listen                 string // IP:PORT; "": off
+	Read, Aggregate, Write string // classes by what a statement does; "": by the settings of classes
+	KeyHeader, KeySetting  string // where a request's order key stands
+	MostBody               int    // bytes of a request's body, unpacked
+	MostResult             int    // bytes of a result
+	KeepAlive              float64
+	DisplayName            string
+}
+
+// User is somebody who may ask.
+type User struct {
+	Tenant string
+	Hash   string // SHA-256 of the password, hex; "": none is asked for
 }
 
 // Shapes are the settings of what is remembered of statements.
@@ -67,6 +89,83 @@
 		o.Shapes.Every = float64(n) * 1000
 		return err
 	}},
+	{"clickhouse", "listen", "", "IP:PORT of the ClickHouse HTTP interface; empty: off", func(o *Own, _, v string) error {
+		if o.CH.Listen = v; v == "" {
+			return nil
+		}
+		_, err := netip.ParseAddrPort(v)
+		return err
+	}},
+	{"clickhouse", "read_class", "", "class of statements that read; empty: the class that may be repeated at will and gives up first", func(o *Own, _, v string) error {
+		o.CH.Read = v
+		return nil
+	}},
+	{"clickhouse", "aggregate_class", "", "class of those that aggregate; empty: the class that may be repeated at will and gives up last", func(o *Own, _, v string) error {
+		o.CH.Aggregate = v
+		return nil
+	}},
+	{"clickhouse", "write_class", "", "class of those that write; empty: the first class that holds its tables", func(o *Own, _, v string) error {
+		o.CH.Write = v
+		return nil
+	}},
+	{"clickhouse", "key_header", "X-Order-Key", "header with the key in whose order writes run", func(o *Own, _, v string) error {
+		if strings.ContainsAny(v, " \t:") || v == "" {
+			return fmt.Errorf("%q can't name a header", v)
+		}
+		o.CH.KeyHeader = strings.ToLower(v)
+		return nil
+	}},
+	{"clickhouse", "key_setting", "order_key", "the same as a setting in the URL", func(o *Own, _, v string) error {
+		if v == "" {
+			return fmt.Errorf("empty")
+		}
+		o.CH.KeySetting = v
+		return nil
+	}},
+	{"clickhouse", "max_body_kb", "1024", "largest body of a request once unpacked, 1 to 65536", func(o *Own, _, v string) error {
+		n, err := whole(v, 1, 65536)
+		o.CH.MostBody = n << 10
+		return err
+	}},
+	{"clickhouse", "max_result_kb", "4096", "largest result, 64 to 1048576", func(o *Own, _, v string) error {
+		n, err := whole(v, 64, 1<<20)
+		o.CH.MostResult = n << 10
+		return err
+	}},
+	{"clickhouse", "keep_alive_s", "10", "seconds for which an idle connection is kept, 1 to 3600", func(o *Own, _, v string) error {
+		n, err := whole(v, 1, 3600)
+		o.CH.KeepAlive = float64(n) * 1000
+		return err
+	}},
+	{"clickhouse", "display_name", "thymeway", "what displayName() tells", func(o *Own, _, v string) error {
+		o.CH.DisplayName = v
+		return nil
+	}},
+	{"user *", "tenant", "", "the member that a user of the ClickHouse interface belongs to; empty: the one of its name", func(o *Own, name, v string) error {
+		u := o.Users[name]
+		if u.Tenant = v; v == "" {
+			u.Tenant = name
+		}
+		o.Users[name] = u
+		return nil
+	}},
+	{"user *", "password_sha256", "", "SHA-256 of its password in hex; empty: none is asked for", func(o *Own, name, v string) error {
+		u := o.Users[name]
+		u.Hash = strings.ToLower(v)
+		if b, err := hex.DecodeString(v); err != nil || v != "" && len(b) != 32 {
+			return fmt.Errorf("not 64 hex digits")
+		}
+		if u.Tenant == "" {
+			u.Tenant = name
+		}
+		o.Users[name] = u
+		return nil
+	}},
+	{"kind *", "protocol", "rest", "what engines of a kind speak: rest, the platform's protocol, or clickhouse", func(o *Own, name, v string) error {
+		_, err := oneOf(v, "rest", "clickhouse")
+		o.Kinds[name] = v
+		return err
+	}},
 	{"class *", "role", "", "what a class's statements may do: reads, writes or any; empty: loads write, what may be repeated at will reads", func(o *Own, name, v string) error {
 		if v == "" {
 			return nil
@@ -115,7 +214,7 @@
 
 // ParseOwn reads the text of our own settings.
 func ParseOwn(text []byte) (Own, error) {
-	o := Own{Roles: map[string]shape.Role{}}
+	o := Own{Roles: map[string]shape.Role{}, Users: map[string]User{}, Kinds: map[string]string{}}
 	for _, s := range ownSettings {
 		if !strings.HasSuffix(s.section, "*") {
 			if err := s.set(&o, "", s.def); err != nil {
@@ -243,3 +342,61 @@
 	}
 	return shape.Any
 }
+
+// ClassFor is the class of a statement that comes without one: what our settings name, or what the classes' own settings
+// show. ok is false where there is none.
+func (c Config) ClassFor(k shape.Kind) (name string, ok bool) {
+	named := c.Own.CH.Read
+	switch k {
+	case shape.Aggregate:
+		named = c.Own.CH.Aggregate
+	case shape.Write, shape.Unknown:
+		named = c.Own.CH.Write
+	}
+	if named != "" {
+		return named, true
+	}
+	limit := 0.0
+	for _, x := range c.Choice.Classes {
+		switch {
+		case k == shape.Write || k == shape.Unknown:
+			if x.Load {
+				return x.Name, true
+			}
+		case x.Effect == choice.Safe && (!ok || (k == shape.Aggregate) == (x.Limit > limit)):
+			name, ok, limit = x.Name, true, x.Limit
+		}
+	}
+	return name, ok
+}
+
+// References tells which of our own settings name a class, tenant or kind that the platform's configuration has not.
+func (c Config) References() error {
+	var faults []error
+	class := func(section, key, name string) {
+		if name != "" && !slices.ContainsFunc(c.Choice.Classes, func(k choice.Class) bool { return k.Name == name }) {
+			faults = append(faults, fmt.Errorf("[%s] %s: no class %q in settings.categories", section, key, name))
+		}
+	}
+	for name := range c.Own.Roles {
+		class("class "+name, "role", name)
+	}
+	class("clickhouse", "read_class", c.Own.CH.Read)
+	class("clickhouse", "aggregate_class", c.Own.CH.Aggregate)
+	class("clickhouse", "write_class", c.Own.CH.Write)
+	for name, u := range c.Own.Users {
+		if len(c.Choice.Tenants) > 0 && !slices.ContainsFunc(c.Choice.Tenants, func(t choice.Tenant) bool { return t.Name == u.Tenant }) {
+			faults = append(faults, fmt.Errorf("[user %s] tenant: no tenant %q in settings.tenants", name, u.Tenant))
+		}
+	}
+	for name := range c.Own.Kinds {
+		if len(c.Choice.Kinds) > 0 && !slices.ContainsFunc(c.Choice.Kinds, func(k choice.Kind) bool { return k.Name == name }) {
+			faults = append(faults, fmt.Errorf("[kind %s]: no kind of that name in settings.models", name))
+		}
+	}
+	if c.Own.CH.Listen != "" && c.Own.CH.Listen == c.Listen {
+		faults = append(faults, errors.New("[clickhouse] listen: the address is the PostgreSQL clients'"))
+	}
+	slices.SortFunc(faults, func(a, b error) int { return strings.Compare(a.Error(), b.Error()) })
+	return errors.Join(faults...)
+}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -22,9 +22,22 @@
 	Dialect   shape.Dialect
 	Shape     *shape.Shape // what the statement is taken for; see Recognise
 	Client    Client
-	told      float64 // the estimate of the work that came with it
+	CH        *ClickHouse // what came with it over ClickHouse's HTTP interface; else nil
+	told      float64     // the estimate of the work that came with it
 }
 
+// ClickHouse is a request as that interface has it: Statement is the same with its parameters and data put in.
+type ClickHouse struct {
+	Text     string      // the query, without its FORMAT clause
+	Data     []byte      // behind it, of an INSERT
+	Params   [][2]string // by name, without param_
+	Settings [][2]string
+	Database string
+}
+
+// Watcher is a Client that wants to hear how far its request is: the share done, from 0 to 1.
+type Watcher interface{ Progress(share float64) }
+
 // Client is owed one of these calls for each request, once; none after Drop.
 type Client interface {
 	Serve(r *result.Set)
@@ -251,7 +264,10 @@
 
 // Noted takes word on an attempt that is out.
 func (c *Coordinator) Noted(request, engine string, attempt int, kind choice.NoteKind, level float64) {
-	if c.requests[request] != nil {
+	if q := c.requests[request]; q != nil {
+		if w, ok := q.Client.(Watcher); ok && kind == choice.NoteProgress && !q.ended {
+			w.Progress(level)
+		}
 		c.tell(choice.Note{Request: request, Attempt: attempt, Engine: engine, Kind: kind, Level: level})
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,6 +7,7 @@
 	"math/rand"
 
 	"thymeway/internal/board"
+	"thymeway/internal/chhttp"
 	"thymeway/internal/config"
 	"thymeway/internal/coordinator"
 	"thymeway/internal/deadline"
@@ -41,6 +42,7 @@
 type Node struct {
 	Coordinator *coordinator.Coordinator
 	Sessions    *pg.Sessions
+	Front       *chhttp.Front // nil: no ClickHouse clients are served
 	Watch       *board.Watch
 	Shapes      *shape.Book
 	keeper      *snapshot.Keeper // nil: shapes are not kept
@@ -68,6 +70,11 @@
 			MostInput: min(max(int(c.MemoryMB*(1<<20)*inputShare)/clients, leastInput), mostInput),
 			Random:    rand.New(rand.NewSource(int64(c.Seed) + 1))},
 		Watch: &board.Watch{Dialer: d, Deadlines: queue, Now: now, Listener: coord, Addr: c.Board, Connect: 2 * c.ConnectTimeout}}
+	if c.Own.CH.Listen != "" {
+		n.Front = &chhttp.Front{Coordinator: coord, Deadlines: queue, Faults: faults, Now: now, Margin: answerMargin, Seats: places,
+			Random: rand.New(rand.NewSource(int64(c.Seed) + 2)), Config: c}
+		n.Front.Start()
+	}
 	if n.keeper = keeper; keeper != nil {
 		n.keep(c.Own.Shapes.Every)
 	}
@@ -135,6 +142,39 @@
 	n.Watch.Move(c.Board)
 }
 
+// close has all fronts refuse what is new.
+func (n *Node) close() {
+	n.Sessions.Leaving = true
+	if n.Front != nil {
+		n.Front.Leaving = true
+	}
+}
+
+// pending is the number of bytes on their way to clients.
+func (n *Node) pending() int {
+	p := n.Sessions.Pending()
+	if n.Front != nil {
+		p += n.Front.Pending()
+	}
+	return p
+}
+
+// Accept makes the object behind a new connection, by the number of the address in Listen that it came to.
+func (n *Node) Accept(listener int) link.Handler {
+	if listener == 1 {
+		return n.Front.Accept()
+	}
+	return n.Sessions.Accept()
+}
+
+// Listen are the addresses to serve.
+func (n *Node) Listen() []string {
+	if n.Front == nil {
+		return []string{n.config.Listen}
+	}
+	return []string{n.config.Listen, n.config.Own.CH.Listen}
+}
+
 // Leave calls stop once nothing new comes and all that was taken is answered and written. What would take longer than
 // SIGKILL leaves is given up before that: its client may then still try elsewhere. Asked again, it does nothing.
 func (n *Node) Leave(stop func()) {
@@ -149,13 +189,13 @@
 	}
 	last := n.now() + min(longest, killMost) + killAfter - answerBefore
 	n.queue.Set(&deadline.Entry{Do: func() {
-		n.Sessions.Leaving = true
+		n.close()
 		n.Coordinator.Leave()
 	}}, last)
 	e := &deadline.Entry{}
 	e.Do = func() {
-		n.Sessions.Leaving = true
-		if n.Coordinator.Owed() == 0 && n.Sessions.Pending() == 0 && (n.fleet.Out() == 0 || n.now() > last+cancelWithin) {
+		n.close()
+		if n.Coordinator.Owed() == 0 && n.pending() == 0 && (n.fleet.Out() == 0 || n.now() > last+cancelWithin) {
 			stop()
 			return
 		}
--- a/internal/node/play_test.go
+++ b/internal/node/play_test.go
@@ -39,6 +39,7 @@
 	name   string
 	h      link.Handler
 	client bool
+	web    bool // a client that speaks HTTP
 	closed bool
 	unread bool // bytes wait that the program was not given
 	rest   []byte
@@ -48,6 +49,10 @@
 	if s.closed {
 		return
 	}
+	if s.web {
+		s.p.say("%s< %s", s.name, strings.NewReplacer("\r\n", " | ", "\n", `\n`, "\t", `\t`).Replace(string(b)))
+		return
+	}
 	if !s.client {
 		s.p.say("%s< %s", s.name, strings.NewReplacer("\r\n", " | ", "\n", `\n`).Replace(string(b)))
 		return
@@ -175,7 +180,7 @@
 		p.advance(start + ms)
 		return
 	}
-	if name == "with" {
+	if name == "with" || name == "own" {
 		return
 	}
 	if name == "leave" {
@@ -202,6 +207,9 @@
 		s = p.dials[i-1]
 	} else if s == nil {
 		s = &side{p: p, name: name, h: p.n.Sessions.Accept(), client: true}
+		if strings.HasPrefix(name, "h") {
+			s.h, s.web = p.n.Front.Accept(), true
+		}
 		p.clients[name] = s
 		s.h.Opened(s)
 	}
@@ -220,6 +228,21 @@
 		n, text, _ := strings.Cut(rest, " ")
 		count, _ := strconv.Atoi(n)
 		send(bytes.Repeat(packet("Q", text+"\x00"), count))
+	case "GET", "POST", "HEAD", "PUT": // TARGET header=value ... "body"
+		p.advance(p.now + 5)
+		head, body, _ := strings.Cut(rest, ` "`)
+		if body != "" {
+			body = unquote(p.t, `"`+body)
+		}
+		words := strings.Fields(head)
+		text := verb + " " + words[0] + " HTTP/1.1\r\nHost: x\r\n"
+		for _, h := range words[1:] {
+			text += strings.Replace(h, "=", ": ", 1) + "\r\n"
+		}
+		if body != "" {
+			text += fmt.Sprintf("Content-Length: %d\r\n", len(body))
+		}
+		send([]byte(text + "\r\n" + body))
 	case "slowly": // the same, a byte at a time
 		for _, c := range packet("Q", rest+"\x00") {
 			send([]byte{c})
@@ -284,6 +307,15 @@
 			if err != nil {
 				t.Fatal(err)
 			}
+			if own := regexp.MustCompile(`(?m)^own (.*)$`).FindAllSubmatch(want, -1); own != nil { // lines of our own settings
+				var text []byte
+				for _, m := range own {
+					text = append(append(text, m[1]...), '\n')
+				}
+				if c.Own, err = config.ParseOwn(text); err != nil {
+					t.Fatal(err)
+				}
+			}
 			p := &player{t: t, now: start, queue: deadline.New(), clients: map[string]*side{}, keys: map[string][]byte{}, conf: conf}
 			p.n, err = New(c, p, p.queue, func() float64 { return p.now }, func() { p.woken = true })
 			if err != nil {
