--- a/internal/node/play_test.go
+++ b/internal/node/play_test.go
@@ -207,7 +207,7 @@
 		s = p.dials[i-1]
 	} else if s == nil {
 		s = &side{p: p, name: name, h: p.n.Sessions.Accept(), client: true}
-		if strings.HasPrefix(name, "h") {
+		if p.n.Front != nil && strings.HasPrefix(name, "h") {
 			s.h, s.web = p.n.Front.Accept(), true
 		}
 		p.clients[name] = s
