Run attempts on ClickHouse engines, count by protocol, and tell Prometheus

Need: some chains keep their tables behind engines reached over the ClickHouse HTTP interface; both kinds of engines and of clients go through one module, and operators want to compare them.

--- a/cmd/thymeway/main.go
+++ b/cmd/thymeway/main.go
@@ -3,10 +3,12 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"log/slog"
+	stdnet "net"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -18,6 +20,7 @@
 	"thymeway/internal/config"
 	"thymeway/internal/deadline"
 	"thymeway/internal/logs"
+	"thymeway/internal/metrics"
 	"thymeway/internal/net"
 	"thymeway/internal/node"
 )
@@ -167,11 +170,41 @@
 			})
 		}
 	}()
+	if c.Own.Metrics != "" {
+		l, err := stdnet.Listen("tcp", c.Own.Metrics)
+		if err != nil {
+			return fmt.Errorf("[metrics] listen: %w", err)
+		}
+		defer metrics.Server(l, copies(loop, n)).Close()
+	}
 	err = loop.Run(n.Listen()...)
 	n.Close()
 	return err
 }
 
+// copies gives others than the loop what it counted. One asks at a time: who does not get his turn in time goes without.
+func copies(loop *net.Loop, n *node.Node) func(context.Context) (metrics.Snapshot, error) {
+	turn := make(chan struct{}, 1)
+	return func(ctx context.Context) (metrics.Snapshot, error) {
+		select {
+		case turn <- struct{}{}:
+		case <-ctx.Done():
+			return metrics.Snapshot{}, ctx.Err()
+		}
+		got := make(chan metrics.Snapshot, 1)
+		loop.Do(func() {
+			got <- n.Snapshot()
+			<-turn
+		})
+		select {
+		case s := <-got:
+			return s, nil
+		case <-ctx.Done():
+			return metrics.Snapshot{}, ctx.Err()
+		}
+	}
+}
+
 // resident is the program's resident memory in KB, 0 where the system does not tell.
 func resident() (kb int) {
 	text, err := os.ReadFile("/proc/self/status")
--- a/internal/chhttp/front.go
+++ b/internal/chhttp/front.go
@@ -307,7 +307,7 @@
 		f.locks[q.user+"\x00"+q.session] = s
 	}
 	q.Deadline = f.Now() + q.limit - math.Min(f.Margin, q.limit*marginMost)
-	q.Client = s
+	q.Client, q.Protocol = s, "clickhouse"
 	f.Coordinator.Take(q.Request)
 }
 
@@ -444,7 +444,10 @@
 	if !errors.As(err, &e) {
 		e = &exception{codeProtocol, err.Error()}
 	}
-	c := codes[e.code]
+	c, known := codes[e.code]
+	if !known { // an engine's: its text has the name
+		c.status = 400
+	}
 	if status == 0 {
 		status = c.status
 	}
@@ -454,7 +457,10 @@
 	}
 	fields = append(fields, [2]string{"X-ClickHouse-Exception-Code", strconv.Itoa(e.code)})
 	text := strings.ToValidUTF8(e.text, "?")
-	body := fmt.Appendf(nil, "Code: %d. DB::Exception: %s (%s) (version %s)\n", e.code, text, c.name, version)
+	if known {
+		text += " (" + c.name + ") (version " + version + ")"
+	}
+	body := fmt.Appendf(nil, "Code: %d. DB::Exception: %s\n", e.code, text)
 	s.answer(status, mediaPlain, fields, body, q != nil && q.head)
 }
 
@@ -507,6 +513,13 @@
 	if s.q != nil && s.f.Now() >= s.q.Deadline-s.f.Margin {
 		code = codeTimeout
 	}
+	// What an engine said of the query goes on with its own code.
+	if rest, ok := strings.CutPrefix(why, "Code: "); ok {
+		number, text, _ := strings.Cut(rest, ". DB::Exception: ")
+		if n, err := strconv.Atoi(number); err == nil && text != "" {
+			code, why = n, text
+		}
+	}
 	s.fail(0, except(code, "%s", why), nil)
 	s.proceed()
 }
--- a/internal/chhttp/pack.go
+++ b/internal/chhttp/pack.go
@@ -40,9 +40,8 @@
 }
 
 const (
-	blockHead   = 25       // bytes: checksum, method, two sizes
-	zstdMemory  = 32 << 20 // that a frame's window may take
-	mostPacking = 128 << 20
+	blockHead  = 25       // bytes: checksum, method, two sizes
+	zstdMemory = 32 << 20 // that a frame's window may take
 )
 
 // unpacked undoes a request's content encoding, and the blocks of decompress=1.
@@ -92,7 +91,11 @@
 		}
 		at = at[16+packed:]
 	}
-	return limited(compress.NewReader(bytes.NewReader(b)), most)
+	out := make([]byte, total)
+	if _, err := io.ReadFull(compress.NewReader(bytes.NewReader(b)), out); err != nil {
+		return nil, except(codeUnpack, "the body's blocks can't be unpacked: %.80v", err)
+	}
+	return out, nil
 }
 
 // packers are kept from one answer to the next; the loop uses them by turns. They are made when first needed.
--- a/internal/config/own.go
+++ b/internal/config/own.go
@@ -28,6 +28,7 @@
 	Roles    map[string]shape.Role // by class; those that are not named follow the class's settings
 	CH       ClickHouse
 	Users    map[string]User   // none: each member is a user of its own name, without a password
+	Metrics  string            // IP:PORT of the listener for Prometheus; "": off
 	Kinds    map[string]string // the protocol of a kind of engine, where it is not the platform's
 }
 
@@ -89,6 +90,13 @@
 		o.Shapes.Every = float64(n) * 1000
 		return err
 	}},
+	{"metrics", "listen", "", "IP:PORT at which Prometheus may ask for /metrics; empty: off", func(o *Own, _, v string) error {
+		if o.Metrics = v; v == "" {
+			return nil
+		}
+		_, err := netip.ParseAddrPort(v)
+		return err
+	}},
 	{"clickhouse", "listen", "", "IP:PORT of the ClickHouse HTTP interface; empty: off", func(o *Own, _, v string) error {
 		if o.CH.Listen = v; v == "" {
 			return nil
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -7,6 +7,7 @@
 	"log/slog"
 
 	"thymeway/choice"
+	"thymeway/internal/account"
 	"thymeway/internal/deadline"
 	"thymeway/internal/link"
 	"thymeway/internal/result"
@@ -19,11 +20,13 @@
 	choice.Request
 	Idem      string // the client's idempotency key
 	Statement string
+	Protocol  string // that brought it, for the accounts
 	Dialect   shape.Dialect
 	Shape     *shape.Shape // what the statement is taken for; see Recognise
 	Client    Client
 	CH        *ClickHouse // what came with it over ClickHouse's HTTP interface; else nil
 	told      float64     // the estimate of the work that came with it
+	doubted   bool
 }
 
 // ClickHouse is a request as that interface has it: Statement is the same with its parameters and data put in.
@@ -64,11 +67,12 @@
 	Work, Mem float64
 	Report    choice.Report
 	Result    *result.Set // of a good end
+	Why       string      // what an engine says of a query that it rejects
 }
 
 // Engines runs attempts. Each Send and each Probe gets one Ended or Probed.
 type Engines interface {
-	Know(id, addr string, gone bool)
+	Know(m Member)
 	Only(named map[string]bool)
 	Send(a Attempt)
 	Cancel(request string, attempt int)
@@ -84,6 +88,8 @@
 // open is a request that is owed its answer, or that has attempts out.
 type open struct {
 	*Request
+	taken float64
+	count *account.Counts
 	grant float64
 	sends int
 	out   int
@@ -105,6 +111,7 @@
 	read      Reading
 	roles     map[string]shape.Role
 	doubted   [shape.Doubts]uint64
+	Accounts  account.Book
 }
 
 // Reading is how statements are recognised.
@@ -162,7 +169,7 @@
 func (c *Coordinator) judge(r *Request) {
 	c.Recognise(r)
 	if d := shape.Judge(c.roles[r.Class], &r.Shape.Info); d != shape.Sure {
-		r.Once = true
+		r.Once, r.doubted = true, true
 		c.doubted[d]++
 		c.read.Faults.Add("statement-doubted", "why", d, "class", r.Class, "kind", r.Shape.Kind, "shape", r.Shape.Name())
 	}
@@ -195,7 +202,16 @@
 		return
 	}
 	c.judge(r)
-	c.requests[r.ID] = &open{Request: r}
+	q := &open{Request: r, taken: c.now(), count: c.Accounts.Of(account.Key{Tenant: r.Tenant, Class: r.Class, Protocol: r.Protocol})}
+	q.count.Taken++
+	q.count.Asked += c.classes[r.Class].Worth
+	if r.Repeat {
+		q.count.Repeats++
+	}
+	if r.doubted {
+		q.count.Doubted++
+	}
+	c.requests[r.ID] = q
 	c.owed++
 	c.tell(r.Request)
 }
@@ -206,17 +222,27 @@
 	if q == nil || q.Request != r || q.ended {
 		return
 	}
-	c.end(q)
+	c.end(q, account.Dropped, 0)
 	c.tell(choice.Gone{Request: r.ID})
 }
 
-// end marks a request as answered, and forgets it once nothing of it is out.
-func (c *Coordinator) end(q *open) {
+// end marks a request as answered, counts how, and forgets it once nothing of it is out. work is what a good answer
+// told of its work, which its aim grows with.
+func (c *Coordinator) end(q *open, e account.Ending, work float64) {
 	if !q.ended {
 		q.ended = true
 		c.owed--
+		k := c.classes[q.Class]
+		if work <= 0 {
+			work = q.Work
+		}
+		q.count.End(e, c.now()-q.taken, account.Aim(k.Aim, k.AimStretch, work, k.Threads), k.Worth, k.LateWorth)
 	}
-	if q.out == 0 {
+	c.forget(q)
+}
+
+func (c *Coordinator) forget(q *open) {
+	if q.ended && q.out == 0 {
 		delete(c.requests, q.ID)
 	}
 }
@@ -230,7 +256,7 @@
 	named := map[string]bool{}
 	for _, m := range members {
 		named[m.ID] = true
-		c.engines.Know(m.ID, m.Addr, m.Status == choice.Removed)
+		c.engines.Know(m)
 		l.Engines = append(l.Engines, m.Engine)
 	}
 	if whole {
@@ -239,7 +265,8 @@
 	c.tell(l)
 }
 
-// Ended takes the end of an attempt. A good one goes to the client at once and ends the request.
+// Ended takes the end of an attempt. A good one goes to the client at once and ends the request, and so does an engine's
+// word that the query itself is at fault.
 func (c *Coordinator) Ended(o Outcome) {
 	q := c.requests[o.Request]
 	if q == nil {
@@ -252,12 +279,14 @@
 	if o.End == link.Served && !q.ended {
 		o.Result.Verb = q.Shape.Verb
 		q.Client.Serve(o.Result)
-		c.end(q)
+		c.end(q, account.Served, o.Work)
 	}
-	ended := q.ended
-	if ended {
-		c.end(q)
+	if o.End == link.Rejected && !q.ended { // the engine's answer to the query itself, as final as a result
+		q.Client.Fail(o.Why)
+		c.end(q, account.Failed, 0)
 	}
+	ended := q.ended
+	c.forget(q)
 	c.tell(choice.Outcome{Request: o.Request, Attempt: o.Attempt, Engine: o.Engine, Result: o.End.Result(),
 		Took: o.Took, Ended: ended, Work: o.Work, Mem: o.Mem, Report: o.Report})
 }
@@ -302,12 +331,12 @@
 		c.engines.Cancel(a.Request, a.Attempt)
 	case choice.Refuse:
 		if q := c.requests[a.Request]; q != nil && !q.ended {
-			c.end(q)
+			c.end(q, account.Refused, 0)
 			q.Client.Refuse(a.ComeBack)
 		}
 	case choice.Fail:
 		if q := c.requests[a.Request]; q != nil && !q.ended {
-			c.end(q)
+			c.end(q, account.Failed, 0)
 			q.Client.Fail("no worker group could finish it")
 		}
 	case choice.Wake:
@@ -330,6 +359,7 @@
 	n := q.sends
 	q.sends++
 	q.out++
+	q.count.Sends++
 	until := q.Deadline
 	if t := c.now() + a.Timeout; a.Timeout > 0 && t < until {
 		until = t
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -72,6 +72,24 @@
 	return s != ""
 }
 
+// usual are names as most write them, so that no copy in small letters is made of each.
+var usual = map[string]string{}
+
+func init() {
+	for _, n := range []string{"Host", "Content-Length", "Content-Type", "Connection", "Transfer-Encoding", "User-Agent", "Accept-Encoding",
+		"Accept", "Authorization", "Expect", "Page-Count", "Page-No", "X-Report", "X-Tell", "Figure", "Work-Ms", "Peak-Mb", "X-No-Effect",
+		"X-ClickHouse-Summary", "X-ClickHouse-Progress", "X-ClickHouse-Format", "X-ClickHouse-Query-Id", "X-ClickHouse-User", "X-ClickHouse-Key"} {
+		usual[n] = strings.ToLower(n)
+	}
+}
+
+func small(name string) string {
+	if n, ok := usual[name]; ok {
+		return n
+	}
+	return strings.ToLower(name)
+}
+
 // split finds the end of a head and cuts it into its lines. Danger: what one reader takes for the end of a line and
 // another does not lets a message be smuggled in another, so only CR LF ends one.
 func split(b []byte, l Limits) (lines []string, n int, err error) {
@@ -109,7 +127,7 @@
 	if len(part) != 3 || !token(part[0]) || part[1] == "" {
 		return nil, 0, fault(400, "request line %.60q", lines[0])
 	}
-	h := &Head{Method: part[0], Target: part[1], Length: -1}
+	h := &Head{Method: part[0], Target: part[1], Length: -1, Fields: make([]Field, 0, len(lines)-1)}
 	switch part[2] {
 	case "HTTP/1.1":
 		h.Minor = 1
@@ -135,7 +153,7 @@
 				return nil, 0, fault(400, "byte %q in header %.40s", c, name)
 			}
 		}
-		name = strings.ToLower(name)
+		name = small(name)
 		switch name {
 		case "host":
 			hosts++
@@ -199,7 +217,7 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	h := &Head{Length: -1}
+	h := &Head{Length: -1, Fields: make([]Field, 0, len(lines)-1)}
 	version, rest, _ := strings.Cut(lines[0], " ")
 	code, _, _ := strings.Cut(rest, " ")
 	if h.Status, err = strconv.Atoi(code); err != nil || h.Status < 100 || h.Status > 599 || version != "HTTP/1.1" && version != "HTTP/1.0" {
@@ -214,7 +232,7 @@
 		if !ok || name == "" || name[0] == ' ' || name[0] == '\t' {
 			return nil, 0, fault(502, "header line %.60q", line)
 		}
-		name, value = strings.ToLower(name), strings.TrimSpace(value)
+		name, value = small(name), strings.TrimSpace(value)
 		switch name {
 		case "content-length":
 			v, err := length(value)
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -13,6 +13,7 @@
 	Full                 // the worker group turned it away, and it never ran
 	Over                 // the worker group found its time over, and it never ran
 	Failed               // the worker group gave an error
+	Rejected             // it found the query itself at fault before it ran, as any other would
 	Refused              // the other side refused the connection: no process listens
 	Unreached            // the connection did not come up in time
 	Crowded              // there was no descriptor for a connection
@@ -27,7 +28,7 @@
 	Stopped              // closed by us
 )
 
-var names = [...]string{"served", "full", "over", "failed", "refused", "unreached", "crowded", "died", "lost", "silent", "given-up",
+var names = [...]string{"served", "full", "over", "failed", "rejected", "refused", "unreached", "crowded", "died", "lost", "silent", "given-up",
 	"hangup", "broken", "garbled", "idle", "stopped"}
 
 func (e End) String() string { return names[e] }
@@ -40,7 +41,7 @@
 		return choice.OK
 	case Full:
 		return choice.Full
-	case Over, Crowded:
+	case Over, Crowded, Rejected:
 		return choice.Moot
 	case Failed, Lost, Broken: // danger: a reset says nothing of the process; taken for a restart, it would make it cold
 		return choice.Error
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,14 +4,18 @@
 
 import (
 	"log/slog"
+	"maps"
 	"math/rand"
+	"slices"
 
 	"thymeway/internal/board"
+	"thymeway/internal/chengine"
 	"thymeway/internal/chhttp"
 	"thymeway/internal/config"
 	"thymeway/internal/coordinator"
 	"thymeway/internal/deadline"
 	"thymeway/internal/link"
+	"thymeway/internal/metrics"
 	"thymeway/internal/pg"
 	"thymeway/internal/rest"
 	"thymeway/internal/seats"
@@ -34,6 +38,7 @@
 	killMost     = 3000.0   // ms
 	answerBefore = 350.0    // ms before that time by which all is answered
 	shapesATurn  = 128      // shapes that are written down in one turn
+	chIdle       = 2500.0   // ms for which a connection to a ClickHouse engine is kept: these close them after 3 s or more
 	mostSnapshot = 64 << 20 // bytes of the file
 	cancelWithin = 200.0    // ms from then for worker groups to hear what is given up
 )
@@ -45,8 +50,10 @@
 	Front       *chhttp.Front // nil: no ClickHouse clients are served
 	Watch       *board.Watch
 	Shapes      *shape.Book
+	seats       *seats.Seats
 	keeper      *snapshot.Keeper // nil: shapes are not kept
 	fleet       *rest.Fleet
+	ch          *chengine.Fleet // nil: no engine speaks ClickHouse's interface
 	queue       *deadline.Queue
 	now         func() float64
 	config      config.Config
@@ -60,12 +67,28 @@
 		ConnIdle: c.ConnIdle * idleShare, MostWires: int(float64(c.Sockets) * engineShare)}
 	book := shape.NewBook(shape.Options{Bytes: c.ShapeBytes(), Seed: c.Seed})
 	keeper := remember(book, c.Own.Shapes)
-	coord := coordinator.New(c.Choice, now, queue, fleet, wake,
+	engines, ch := coordinator.Engines(fleet), (*chengine.Fleet)(nil)
+	if slices.Contains(slices.Collect(maps.Values(c.Own.Kinds)), "clickhouse") {
+		fleet.MostWires /= 2
+		ch = &chengine.Fleet{Dialer: d, Deadlines: queue, Now: now, Faults: faults, ConnIdle: min(c.ConnIdle*idleShare, chIdle),
+			MostWires: fleet.MostWires, MostResult: c.Own.CH.MostResult}
+		engines = &coordinator.Mux{Sides: []coordinator.Engines{fleet, ch}, Side: func(m coordinator.Member) int {
+			if c.Own.Kinds[m.Kind] == "clickhouse" {
+				return 1
+			}
+			return 0
+		}}
+	}
+	wires := fleet.MostWires
+	coord := coordinator.New(c.Choice, now, queue, engines, wake,
 		coordinator.Reading{Shapes: book, Role: c.Role, Estimates: c.Own.Shapes.Estimates, Faults: faults})
 	fleet.Watcher = coord
-	clients := max(c.Sockets-fleet.MostWires-reserve, 1)
+	if ch != nil {
+		ch.Watcher, wires = coord, 2*wires
+	}
+	clients := max(c.Sockets-wires-reserve, 1)
 	places := &seats.Seats{Most: clients, Faults: faults}
-	n := &Node{Coordinator: coord, Shapes: book, fleet: fleet, queue: queue, now: now, config: c,
+	n := &Node{Coordinator: coord, Shapes: book, seats: places, ch: ch, fleet: fleet, queue: queue, now: now, config: c,
 		Sessions: &pg.Sessions{Coordinator: coord, Deadlines: queue, Faults: faults, Now: now, Margin: answerMargin, Seats: places,
 			MostInput: min(max(int(c.MemoryMB*(1<<20)*inputShare)/clients, leastInput), mostInput),
 			Random:    rand.New(rand.NewSource(int64(c.Seed) + 1))},
@@ -118,6 +141,18 @@
 	n.queue.Set(e, n.now()+every)
 }
 
+// Snapshot is a copy of what is counted, for others than the loop.
+func (n *Node) Snapshot() metrics.Snapshot {
+	s := metrics.Snapshot{Accounts: n.Coordinator.Accounts.Rows(), Shapes: n.Shapes.Stats(), Doubts: map[string]uint64{},
+		Owed: n.Coordinator.Owed(), Out: n.out(), Clients: n.seats.Count()}
+	for d := shape.Sure + 1; d < shape.Doubts; d++ {
+		if k := n.Coordinator.Doubted(d); k > 0 {
+			s.Doubts[d.String()] = k
+		}
+	}
+	return s
+}
+
 // Close writes down what is to outlast the program. It comes after the last turn.
 func (n *Node) Close() {
 	if n.keeper == nil {
@@ -150,6 +185,14 @@
 	}
 }
 
+// out is the number of attempts that may run on some engine.
+func (n *Node) out() int {
+	if n.ch != nil {
+		return n.fleet.Out() + n.ch.Out()
+	}
+	return n.fleet.Out()
+}
+
 // pending is the number of bytes on their way to clients.
 func (n *Node) pending() int {
 	p := n.Sessions.Pending()
@@ -195,7 +238,7 @@
 	e := &deadline.Entry{}
 	e.Do = func() {
 		n.close()
-		if n.Coordinator.Owed() == 0 && n.pending() == 0 && (n.fleet.Out() == 0 || n.now() > last+cancelWithin) {
+		if n.Coordinator.Owed() == 0 && n.pending() == 0 && (n.out() == 0 || n.now() > last+cancelWithin) {
 			stop()
 			return
 		}
--- a/internal/pg/session.go
+++ b/internal/pg/session.go
@@ -305,7 +305,7 @@
 		return
 	}
 	r.Deadline = s.all.Now() + limit - math.Min(s.all.Margin, limit*marginMost)
-	r.Client = s
+	r.Client, r.Protocol = s, "postgres"
 	s.req, s.faults = r, 0
 	s.all.Coordinator.Take(r)
 }
--- a/internal/rest/fleet.go
+++ b/internal/rest/fleet.go
@@ -61,8 +61,11 @@
 	n  int
 }
 
-// Know takes an entry of the list: where a worker group is, or that it has gone.
-func (f *Fleet) Know(id, addr string, gone bool) {
+// Know takes an entry of the list.
+func (f *Fleet) Know(m coordinator.Member) { f.know(m.ID, m.Addr, m.Status == choice.Removed) }
+
+// know takes where a worker group is, or that it has gone.
+func (f *Fleet) know(id, addr string, gone bool) {
 	if f.groups == nil {
 		f.groups, f.at, f.attempts = map[string]*group{}, map[string]*group{}, map[key]*attempt{}
 	}
@@ -100,7 +103,7 @@
 func (f *Fleet) Only(named map[string]bool) {
 	for _, g := range append([]*group(nil), f.order...) {
 		if !named[g.id] && !g.gone {
-			f.Know(g.id, "", true)
+			f.know(g.id, "", true)
 		}
 	}
 }
