Play the ClickHouse front's and engine side's hard cases, and check its formats

Need: what can go wrong has to be caused by tests: order across protocols, clients that drop, ids used twice, broken and hostile requests, engines that answer 200 and then an exception, give half a row or keep a killed query running, SIGTERM with requests open.

A lost query that still runs is killed once and asked for every 100 ms, not at the speed of the wire. FORMAT counts as a clause only where nothing but settings follows.

--- a/internal/chengine/fleet.go
+++ b/internal/chengine/fleet.go
@@ -419,8 +419,7 @@
 			}
 			a.finish(a.end)
 		case r != nil && r.Status == 200 && a.lost && !a.cancelled: // it runs, and its answer can't come any more
-			a.again.Do = func() { a.kill(func(*answer, link.End) { a.ask() }) }
-			a.f.Deadlines.Set(&a.again, a.f.Now())
+			a.revoke(a.end)
 		default:
 			a.again.Do = a.ask
 			a.f.Deadlines.Set(&a.again, a.f.Now()+askPause)
--- /dev/null
+++ b/internal/chhttp/format_test.go
@@ -0,0 +1,235 @@
+package chhttp
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand"
+	"strings"
+	"testing"
+
+	"github.com/ClickHouse/ch-go/compress"
+	"github.com/ClickHouse/ch-go/proto"
+	"github.com/klauspost/compress/gzip"
+	"github.com/klauspost/compress/zstd"
+	"github.com/pierrec/lz4/v4"
+	"pgregory.net/rapid"
+
+	"thymeway/internal/result"
+	"thymeway/internal/shape"
+)
+
+func set(t testing.TB, text string) *result.Set {
+	s, err := result.Parse([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+const sample = "s\tu\tn\tf\n" + "String\tUInt64\tNullable(Int8)\tFloat64\n" +
+	"it\\'s\\t\"x\"\t18446744073709551615\t\\N\t1.5\n" + "\\\\\\0</b>\t7\t-8\tinf\n"
+
+// Each text format writes values as the interface's documentation has them.
+func TestTextFormats(t *testing.T) {
+	s := set(t, sample)
+	for name, want := range map[string]string{
+		"TabSeparated": "it\\'s\\t\"x\"\t18446744073709551615\t\\N\t1.5\n\\\\\\0</b>\t7\t-8\tinf\n",
+		"TSVWithNames": "s\tu\tn\tf\nit\\'s\\t\"x\"\t18446744073709551615\t\\N\t1.5\n\\\\\\0</b>\t7\t-8\tinf\n",
+		"CSVWithNames": "\"s\",\"u\",\"n\",\"f\"\n\"it's\t\"\"x\"\"\",18446744073709551615,\\N,1.5\n\"\\\x00</b>\",7,-8,inf\n",
+		"JSONEachRow":  `{"s":"it's\t\"x\"","u":"18446744073709551615","n":null,"f":1.5}` + "\n" + `{"s":"\\\u0000<\/b>","u":"7","n":-8,"f":null}` + "\n",
+		"Null":         "",
+	} {
+		got, err := formats[name].write(nil, s, options{quote64: true})
+		if err != nil || string(got) != want {
+			t.Errorf("%s: %v\n got %q\nwant %q", name, err, got, want)
+		}
+	}
+	for _, name := range []string{"JSON", "JSONCompact"} {
+		got, err := formats[name].write(nil, s, options{})
+		var doc struct {
+			Meta []struct{ Name, Type string }
+			Data []any
+			Rows int
+		}
+		if err != nil || json.Unmarshal(got, &doc) != nil || doc.Rows != 2 || len(doc.Data) != 2 || doc.Meta[1].Type != "UInt64" {
+			t.Errorf("%s: %v %s", name, err, got)
+		}
+	}
+}
+
+// Native blocks are read back by the client's own library, with and without what newer revisions add, and RowBinary
+// holds the same values.
+func TestNative(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := "s\tu\ti\tf\tn\n" + "String\tUInt32\tInt64\tFloat64\tNullable(String)\n"
+		var ss []string
+		var us []uint32
+		var is []int64
+		var fs []float64
+		var ns []proto.Nullable[string]
+		for range rapid.IntRange(0, 20).Draw(t, "rows") {
+			s := string(rapid.SliceOfN(rapid.Byte(), 0, 300).Draw(t, "s"))
+			u, i, f := rapid.Uint32().Draw(t, "u"), rapid.Int64().Draw(t, "i"), rapid.Float64().Draw(t, "f")
+			n, cell := proto.Null[string](), `\N`
+			if rapid.Bool().Draw(t, "set") {
+				n, cell = proto.NewNullable(s), string(result.Escape(nil, []byte(s)))
+			}
+			ss, us, is, fs, ns = append(ss, s), append(us, u), append(is, i), append(fs, f), append(ns, n)
+			text += fmt.Sprintf("%s\t%d\t%d\t%v\t%s\n", result.Escape(nil, []byte(s)), u, i, f, cell)
+		}
+		r, err := result.Parse([]byte(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		revision := rapid.SampledFrom([]uint64{0, revisionBlockInfo, revision}).Draw(t, "revision")
+		b, err := native(nil, r, options{revision: revision})
+		if err != nil {
+			t.Fatal(err)
+		}
+		var cs proto.ColStr
+		var cu proto.ColUInt32
+		var ci proto.ColInt64
+		var cf proto.ColFloat64
+		cn := new(proto.ColStr).Nullable()
+		rd := proto.NewReader(bytes.NewReader(b))
+		var block proto.Block
+		if err := block.DecodeBlock(rd, int(revision), proto.Results{{Name: "s", Data: &cs}, {Name: "u", Data: &cu}, {Name: "i", Data: &ci}, {Name: "f", Data: &cf}, {Name: "n", Data: cn}}); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := rd.ReadByte(); !errors.Is(err, io.EOF) || block.Rows != len(ss) {
+			t.Fatalf("%d rows of %d, %v", block.Rows, len(ss), err)
+		}
+		for i := range ss {
+			if cs.Row(i) != ss[i] || cu[i] != us[i] || ci[i] != is[i] || cf[i] != fs[i] || cn.Row(i) != ns[i] {
+				t.Fatalf("row %d differs", i)
+			}
+		}
+		if rb, err := formats["RowBinary"].write(nil, r, options{}); err != nil || len(ss) > 0 && !bytes.HasPrefix(rb, putString(nil, ss[0])) {
+			t.Fatalf("RowBinary: %v", err)
+		}
+	})
+}
+
+// A value that is none of its column's type is an error and never another value.
+func TestBinaryValues(t *testing.T) {
+	for _, c := range []struct{ typ, text, want string }{
+		{"UInt8", "255", "\xff"}, {"UInt8", "256", ""}, {"UInt8", "-1", ""}, {"Int16", "-2", "\xfe\xff"}, {"Int8", "x", ""},
+		{"Bool", "true", "\x01"}, {"Bool", "yes", ""}, {"FixedString(3)", "ab", "ab\x00"}, {"FixedString(1)", "ab", ""},
+		{"Date", "1970-01-02", "\x01\x00"}, {"Date", "1969-01-02", ""}, {"Date32", "1969-12-31", "\xff\xff\xff\xff"},
+		{"DateTime", "1970-01-01 00:00:05", "\x05\x00\x00\x00"}, {"DateTime('Africa/Dar_es_Salaam')", "1970-01-01 03:00:05", "\x05\x00\x00\x00"},
+		{"DateTime64(1)", "1970-01-01 00:00:01.5", "\x0f\x00\x00\x00\x00\x00\x00\x00"}, {"DateTime64(1)", "soon", ""},
+		{"Enum8('a' = 1, 'b\\'' = -2)", "b'", "\xfe"}, {"Enum8('a' = 1)", "c", ""}, {"Decimal(9, 2)", "-1.5", "\x6a\xff\xff\xff"},
+		{"Decimal(9, 2)", "1.555", ""}, {"Decimal(9, 0)", "1e5", ""}, {"IPv4", "1.2.3.4", "\x04\x03\x02\x01"}, {"IPv4", "::1", ""},
+		{"Array(UInt8)", "[1]", ""}, {"LowCardinality(Nullable(UInt8))", "7", "\x07"},
+	} {
+		ty := parseType(c.typ)
+		got, err := ty.binaryValue(nil, c.text)
+		if (err != nil) != (c.want == "") || err == nil && string(got) != c.want {
+			t.Errorf("%s %q: %q, %v", c.typ, c.text, got, err)
+		}
+	}
+	if _, err := native(nil, set(t, "a\nUInt8\n\\N\n"), options{}); err == nil {
+		t.Error("NULL stands in a column that has none")
+	}
+}
+
+// Whatever a parameter's value holds, it stands in the text as one literal, and the text keeps its shape.
+func TestParametersStayLiterals(t *testing.T) {
+	book := shape.NewBook(shape.Options{Bytes: 1 << 20})
+	want := book.Look("SELECT a FROM sales_3.t WHERE b = 'x' AND c = 1", shape.ClickHouse, 0).ID
+	rapid.Check(t, func(t *rapid.T) {
+		value := string(rapid.SliceOfN(rapid.SampledFrom([]byte(`a'"\;-/*#()`+"`\n")), 0, 12).Draw(t, "value"))
+		text, err := shape.Parameters("SELECT a FROM sales_3.t WHERE b = {v:String} AND c = {n:UInt8}", func(name, typ string) (string, error) {
+			if name == "n" {
+				return rendered(name, "5", typ)
+			}
+			return rendered(name, string(result.Escape(nil, []byte(value))), typ)
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if s := book.Look(text, shape.ClickHouse, 0); s.ID != want {
+			t.Fatalf("%q makes %q of shape %s", value, text, s.Text())
+		}
+	})
+	for _, c := range [][2]string{{"UInt8", "1 OR 1=1"}, {"UInt8", ""}, {"Float64", "1;"}, {"Date", "2026-13-01"}, {"Map(String, String)", "{}"}, {"Identifier", ""}} {
+		if got, err := rendered("x", c[1], c[0]); err == nil {
+			t.Errorf("%s %q becomes %q", c[0], c[1], got)
+		}
+	}
+	if got, err := rendered("x", "a`b\\", "Identifier"); err != nil || got != "`a\\`b\\\\`" {
+		t.Errorf("%q, %v", got, err)
+	}
+}
+
+// What was packed is unpacked, in each way, and a few bytes that unpack to much are refused without the room for it.
+func TestPacking(t *testing.T) {
+	r := rand.New(rand.NewSource(1))
+	text := make([]byte, 100000)
+	for i := range text {
+		text[i] = byte('a' + r.Intn(4))
+	}
+	for _, method := range []string{"LZ4", "ZSTD"} {
+		for _, encoding := range []string{"", "gzip", "zstd", "lz4"} {
+			b, err := packed(text, encoding, true, method)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, err := unpacked(encoding, true, b, len(text))
+			if err != nil || !bytes.Equal(got, text) {
+				t.Errorf("%s %s: %d bytes, %v", method, encoding, len(got), err)
+			}
+			if _, err := unpacked(encoding, true, b, len(text)-1); err == nil {
+				t.Errorf("%s %s: over the bound", method, encoding)
+			}
+			b[len(b)/2] ^= 1
+			if got, err := unpacked(encoding, true, b, len(text)); err == nil {
+				t.Errorf("%s %s: altered, and %d bytes are taken", method, encoding, len(got))
+			}
+		}
+	}
+	zeros := make([]byte, 64<<20)
+	var g, z, l bytes.Buffer
+	gw := gzip.NewWriter(&g)
+	_, _ = gw.Write(zeros)
+	_ = gw.Close()
+	zw, _ := zstd.NewWriter(&z)
+	_, _ = zw.Write(zeros)
+	_ = zw.Close()
+	lw := lz4.NewWriter(&l)
+	_, _ = lw.Write(zeros)
+	_ = lw.Close()
+	w := compress.NewWriter(compress.LevelZero, compress.LZ4)
+	if err := w.Compress(zeros); err != nil {
+		t.Fatal(err)
+	}
+	for encoding, bomb := range map[string][]byte{"gzip": g.Bytes(), "zstd": z.Bytes(), "lz4": l.Bytes(), "": w.Data} {
+		var e *exception
+		if _, err := unpacked(encoding, encoding == "", bomb, 1<<20); !errors.As(err, &e) || e.code != codeTooLarge {
+			t.Errorf("a bomb of %d bytes by %q: %v", len(bomb), encoding, err)
+		}
+	}
+	lie := append(make([]byte, 16), 0x82)
+	lie = binary.LittleEndian.AppendUint32(binary.LittleEndian.AppendUint32(lie, 9), 1<<31-1)
+	if _, err := unpacked("", true, lie, 1<<20); err == nil {
+		t.Error("a block that claims 2 GB is taken")
+	}
+}
+
+// FORMAT is found where it is a clause, and nowhere else.
+func TestFormatClause(t *testing.T) {
+	for text, want := range map[string]string{
+		"SELECT 1 FORMAT JSON": "JSON", "select 1 format CSV settings a = 1": "CSV", "SELECT 'FORMAT JSON'": "", "SELECT 1 -- FORMAT JSON": "",
+		"SELECT (SELECT 1 FORMAT JSON)": "", "INSERT INTO t FORMAT CSV 1,2": "", "SELECT format('a', 1)": "", "SELECT 1 FORMAT JSON;": "JSON",
+		"SELECT a AS format FROM t": "",
+	} {
+		got, at, ok := shape.FormatClause(text)
+		if ok != (want != "") || ok && (got != want || !strings.HasPrefix(strings.ToUpper(text[at.From:at.To]), "FORMAT ")) {
+			t.Errorf("%s: %q %v %v", text, got, at, ok)
+		}
+	}
+}
--- /dev/null
+++ b/internal/chhttp/front_test.go
@@ -0,0 +1,158 @@
+package chhttp
+
+import (
+	"bytes"
+	"math/rand"
+	"os"
+	"strings"
+	"testing"
+
+	"thymeway/internal/config"
+	"thymeway/internal/coordinator"
+	"thymeway/internal/deadline"
+	"thymeway/internal/link"
+	"thymeway/internal/result"
+	"thymeway/internal/seats"
+	"thymeway/internal/shape"
+	"thymeway/internal/tally"
+)
+
+// sink is the far side of a connection.
+type sink struct {
+	b      bytes.Buffer
+	closed bool
+}
+
+func (s *sink) Write(b []byte) { s.b.Write(b) }
+func (s *sink) Close()         { s.closed = true }
+func (s *sink) Pending() int   { return 0 }
+func (s *sink) Quiet() bool    { return true }
+
+// taker takes requests and keeps them open.
+type taker struct {
+	book *shape.Book
+	open map[string]*coordinator.Request
+}
+
+func (t *taker) Check(*coordinator.Request) error { return nil }
+func (t *taker) Recognise(r *coordinator.Request) {
+	if r.Shape == nil {
+		r.Shape = t.book.Look(r.Statement, r.Dialect, 0)
+	}
+}
+func (t *taker) Take(r *coordinator.Request) { t.open[r.ID] = r }
+func (t *taker) Drop(r *coordinator.Request) { delete(t.open, r.ID) }
+
+func front(t testing.TB) (*Front, *taker, *float64) {
+	text, err := os.ReadFile("../../examples/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := config.Parse(text, "", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := 0.0
+	clock := func() float64 { return now }
+	k := &taker{shape.NewBook(shape.Options{Bytes: 1 << 16}), map[string]*coordinator.Request{}}
+	faults := &tally.Tally{Now: clock}
+	f := &Front{Coordinator: k, Deadlines: deadline.New(), Faults: faults, Now: clock, Margin: 25, Seats: &seats.Seats{Most: 8, Faults: faults},
+		Random: rand.New(rand.NewSource(1)), Config: c}
+	f.Start()
+	return f, k, &now
+}
+
+const post = "POST /?user=acme HTTP/1.1\r\nHost: x\r\nContent-Length: 31\r\n\r\nSELECT a FROM sales_17.orders  "
+
+// A request that fails once its head has gone out ends without its last chunk, so that it can't pass for a short answer.
+func TestFailureBehindProgress(t *testing.T) {
+	for name, end := range map[string]func(s *Session){"failed": func(s *Session) { s.Fail("no engine") }, "refused": func(s *Session) { s.Refuse(500) },
+		"served": func(s *Session) { s.Serve(&result.Set{Pages: [][]byte{[]byte("a\tb\tc\n")}}) }} {
+		f, _, _ := front(t)
+		s, c := f.Accept(), &sink{}
+		s.Opened(c)
+		s.Received([]byte(strings.Replace(post, "?user", "?send_progress_in_http_headers=1&user", 1)))
+		s.Progress(0.25)
+		s.Progress(0.5)
+		end(s)
+		out := c.b.String()
+		whole := strings.HasSuffix(out, "\r\n0\r\n\r\n")
+		if strings.Count(out, "HTTP/1.1 200") != 1 || strings.Count(out, "X-ClickHouse-Progress") != 2 || !strings.Contains(out, "Transfer-Encoding: chunked") ||
+			whole != (name == "served") || c.closed == whole || name != "served" && !strings.Contains(out, "X-ClickHouse-Exception-Code") {
+			t.Errorf("%s: closed %v\n%s", name, c.closed, out)
+		}
+	}
+}
+
+// Where there is no room for more connections, one that rests gives way; one with an open request never does, and who
+// gets no place is told that a new try is harmless.
+func TestSeats(t *testing.T) {
+	f, k, _ := front(t)
+	var all []*sink
+	open := func(text string) *sink {
+		c := &sink{}
+		all = append(all, c)
+		s := f.Accept()
+		s.Opened(c)
+		if text != "" {
+			s.Received([]byte(text))
+		}
+		return c
+	}
+	for range 4 {
+		open(post)
+	}
+	rests := open("GET /ping HTTP/1.1\r\nHost: x\r\n\r\n")
+	silent := open("")
+	for range 4 {
+		open(post)
+	}
+	if !silent.closed || !rests.closed || len(k.open) != 8 {
+		t.Errorf("silent closed %v, resting closed %v, %d open", silent.closed, rests.closed, len(k.open))
+	}
+	if c := open(post); !strings.Contains(c.b.String(), "503") || !strings.Contains(c.b.String(), "X-ClickHouse-Exception-Code: 202") || !c.closed {
+		t.Errorf("one too many hears %q", c.b.String())
+	}
+	for range 10 {
+		open("")
+	}
+	if n := f.Seats.Count(); n > 8+4 {
+		t.Errorf("%d connections are kept", n)
+	}
+}
+
+// Whatever a client sends and however it is cut, the front keeps its books: each open request is one session's, nothing
+// of a closed connection is left, and bytes that wait are bounded.
+func FuzzSession(f *testing.F) {
+	f.Add([]byte(post+post), uint8(7))
+	f.Add([]byte("GET /?user=acme&query=SELECT+1+FORMAT+JSON HTTP/1.1\r\nHost: x\r\n\r\n"), uint8(1))
+	f.Add([]byte("POST /?user=acme&decompress=1 HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n0\r\n\r\n"), uint8(200))
+	f.Fuzz(func(t *testing.T, text []byte, cut uint8) {
+		fr, k, now := front(t)
+		s, c := fr.Accept(), &sink{}
+		s.Opened(c)
+		for n := int(cut) + 1; len(text) > 0 && !s.closed; text = text[min(n, len(text)):] {
+			s.Received(text[:min(n, len(text))])
+			if len(k.open) > 1 || (len(k.open) == 1) != (s.q != nil) {
+				t.Fatalf("%d open, the session's is %v", len(k.open), s.q)
+			}
+			if s.q != nil && n%2 == 0 {
+				r := s.q.Request
+				delete(k.open, r.ID)
+				r.Client.Serve(&result.Set{Pages: [][]byte{[]byte("a\tb\tc\n")}})
+			}
+			*now += 10
+			fr.Deadlines.Sweep(*now)
+		}
+		if !s.closed {
+			s.Closed(link.Broken)
+		}
+		for range 3 {
+			*now += 60000
+			fr.Deadlines.Sweep(*now)
+		}
+		if _, left := fr.Deadlines.Next(); left || len(k.open) > 0 || len(fr.queries) > 0 || len(fr.locks) > 0 || len(fr.all) > 0 || fr.Seats.Count() != 0 {
+			t.Fatalf("left: deadlines %v, %d open, %d queries, %d locks, %d sessions, %d seats", left, len(k.open), len(fr.queries), len(fr.locks), len(fr.all), fr.Seats.Count())
+		}
+	})
+}
--- a/internal/shape/text.go
+++ b/internal/shape/text.go
@@ -98,8 +98,8 @@
 // FormatClause finds FORMAT name at the end of a ClickHouse query, outside brackets: the name, and where the clause
 // stands. Of an INSERT, where the clause speaks of the data, there is none.
 func FormatClause(s string) (name string, at Place, ok bool) {
-	var word, insert bool // the last token was FORMAT; the statement is an INSERT
-	first := true
+	var word, insert, closed bool // the last token was FORMAT; the statement is an INSERT; what follows can't undo the clause
+	first, last := true, ""
 	walk(s, func(from, to, depth int) bool {
 		t := s[from:to]
 		if first {
@@ -110,19 +110,17 @@
 		case insert:
 			return false
 		case word:
-			word = false
-			if class[t[0]]&isLetter != 0 {
+			if word = false; class[t[0]]&isLetter != 0 {
 				name, at.To, ok = t, to, true
-				return true
 			}
-		case depth == 0 && len(t) == 6 && strings.EqualFold(t, "format"):
+		case ok && !closed: // only settings or the end may follow; anything else shows that it was a name
+			closed = true
+			ok = t == ";" || strings.EqualFold(t, "settings")
+			closed = ok
+		case depth == 0 && len(t) == 6 && strings.EqualFold(t, "format") && last != "." && !strings.EqualFold(last, "as"):
 			word, at.From = true, from
-			return true
-		}
-		// Behind the clause only settings may follow; anything else shows that it was none.
-		if ok && t != ";" && !strings.EqualFold(t, "settings") && depth == 0 && strings.EqualFold(t, "from") {
-			ok = false
 		}
+		last = t
 		return true
 	})
 	return name, at, ok
