--- a/cmd/thymeway/clickhouse_test.go
+++ b/cmd/thymeway/clickhouse_test.go
@@ -28,20 +28,21 @@
 
 // plant is the program with stand-in engines behind it.
 type plant struct {
-	t        *testing.T
+	t        testing.TB
 	pg, http string
+	addrs    []string // of the engines
 	engines  []*standin.ClickHouse
 	stop     func()
 }
 
-func free(t *testing.T) string {
+func free(t testing.TB) string {
 	l, addr := listen(t)
 	_ = l.Close()
 	return addr
 }
 
 // start runs the program in front of so many engines that speak ClickHouse's interface.
-func start(t *testing.T, engines int, script func(engine, n int, text string) standin.Fault) *plant {
+func start(t testing.TB, engines int, script func(engine, n int, text string) standin.Fault) *plant {
 	t.Helper()
 	p := &plant{t: t, pg: free(t), http: free(t)}
 	text, err := os.ReadFile("../../examples/config.json")
@@ -59,7 +60,7 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(e.Stop)
-		p.engines = append(p.engines, e)
+		p.engines, p.addrs = append(p.engines, e), append(p.addrs, addr)
 		members = append(members, fmt.Sprintf(`{"id": "ch-%d", "host_port": %q, "locality": "room-a", "flavor": "std-12", "phase": "Ready", "size": 1, "up_since_ms": 0}`, i, addr))
 	}
 	s := regexp.MustCompile(`(?s)"members": \[.*?\]`).ReplaceAllString(string(text), `"members": [`+strings.Join(members, ",")+`]`)
--- a/cmd/thymeway/main_test.go
+++ b/cmd/thymeway/main_test.go
@@ -14,7 +14,7 @@
 )
 
 // listen gives a listener of the test's own, and its address.
-func listen(t *testing.T) (stdnet.Listener, string) {
+func listen(t testing.TB) (stdnet.Listener, string) {
 	l, err := stdnet.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/cmd/thymeway/measure_test.go
@@ -0,0 +1,158 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	stdnet "net"
+	"net/http"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"thymeway/internal/standin"
+)
+
+// BenchmarkFronts asks for the same small result over each front and straight from the engine, by so many clients at a
+// time. CPU is that of the whole process: clients, coordinator and stand-in engine.
+func BenchmarkFronts(b *testing.B) {
+	for _, clients := range []int{1, 32} {
+		for _, way := range []string{"direct", "postgres", "clickhouse"} {
+			b.Run(fmt.Sprintf("%s-%d", way, clients), func(b *testing.B) {
+				p := start(b, 1, nil)
+				ask := askers(b, p, way, clients)
+				var mu sync.Mutex
+				var took []time.Duration
+				var next atomic.Int64
+				before := cpu()
+				b.ResetTimer()
+				var done sync.WaitGroup
+				for c := range clients {
+					done.Add(1)
+					go func() {
+						defer done.Done()
+						var own []time.Duration
+						for n := next.Add(1); n <= int64(b.N); n = next.Add(1) {
+							from := time.Now()
+							if err := ask[c](n); err != nil {
+								b.Error(err)
+								return
+							}
+							own = append(own, time.Since(from))
+						}
+						mu.Lock()
+						took = append(took, own...)
+						mu.Unlock()
+					}()
+				}
+				done.Wait()
+				b.StopTimer()
+				slices.Sort(took)
+				if len(took) > 0 {
+					b.ReportMetric(float64(took[len(took)/2].Microseconds()), "p50-us")
+					b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99-us")
+				}
+				b.ReportMetric(float64((cpu()-before).Microseconds())/float64(b.N), "cpu-us/op")
+				b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "op/s")
+			})
+		}
+	}
+}
+
+func cpu() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func askers(b *testing.B, p *plant, way string, clients int) (all []func(n int64) error) {
+	const text = "SELECT a, b, c FROM sales_3.t WHERE id = %d"
+	for range clients {
+		switch way {
+		case "postgres":
+			c, err := pgx.ParseConfig("postgres://app@" + p.pg + "/lake?sslmode=disable")
+			if err != nil {
+				b.Fatal(err)
+			}
+			c.DefaultQueryExecMode = pgx.QueryExecModeSimpleProtocol
+			conn, err := pgx.ConnectConfig(context.Background(), c)
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.Cleanup(func() { _ = conn.Close(context.Background()) })
+			all = append(all, func(n int64) error {
+				var x, y, z string
+				return conn.QueryRow(context.Background(), fmt.Sprintf("/* verb=lookup,txn=%016x,limit=3000,team=acme,cpu=5 */ "+text, n, n)).Scan(&x, &y, &z)
+			})
+		default:
+			addr := p.http
+			if way == "direct" {
+				addr = p.addrs[0]
+			}
+			client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+			b.Cleanup(client.CloseIdleConnections)
+			all = append(all, func(n int64) error {
+				r, err := client.Post("http://"+addr+"/?user=acme", "text/plain", strings.NewReader(fmt.Sprintf(text, n)))
+				if err != nil {
+					return err
+				}
+				defer r.Body.Close()
+				if _, err := io.Copy(io.Discard, r.Body); err != nil || r.StatusCode != 200 {
+					return fmt.Errorf("%d %v", r.StatusCode, err)
+				}
+				return nil
+			})
+		}
+	}
+	return all
+}
+
+// BenchmarkClientMemory tells what 300 idle and 300 open clients of the ClickHouse front take of the heap.
+func BenchmarkClientMemory(b *testing.B) {
+	heap := func() float64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return float64(m.HeapAlloc) / 1024
+	}
+	for _, text := range []struct{ name, text string }{{"idle", "GET /ping HTTP/1.1\r\nHost: x\r\n\r\n"},
+		{"open", "POST /?user=acme HTTP/1.1\r\nHost: x\r\nContent-Length: 38\r\n\r\nSELECT a FROM sales_17.orders -- slow  "}} {
+		b.Run(text.name, func(b *testing.B) {
+			for b.Loop() {
+				p := start(b, 1, func(int, int, string) standin.Fault { return standin.Fault{Slow: 5 * time.Second} })
+				before := heap()
+				var conns []stdnet.Conn
+				for range 300 {
+					c, err := stdnet.Dial("tcp", p.http)
+					if err != nil {
+						b.Fatal(err)
+					}
+					conns = append(conns, c)
+					if _, err := c.Write([]byte(text.text)); err != nil {
+						b.Fatal(err)
+					}
+					if text.name == "idle" {
+						if _, err := bufio.NewReader(c).ReadString('\n'); err != nil {
+							b.Fatal(err)
+						}
+					}
+				}
+				time.Sleep(300 * time.Millisecond)
+				b.ReportMetric((heap()-before)/300, "KB/client")
+				for _, c := range conns {
+					_ = c.Close()
+				}
+				p.stop()
+			}
+		})
+	}
+}
--- a/examples/toy/main.go
+++ b/examples/toy/main.go
@@ -10,11 +10,14 @@
 	"net"
 	"net/http"
 	"time"
+
+	"thymeway/internal/standin"
 )
 
 func main() {
 	engine := flag.String("engine", "127.0.0.1:4101", "address of the worker group")
 	board := flag.String("board", "127.0.0.1:8599", "address of the notice board")
+	clickhouse := flag.Bool("clickhouse", false, "speak ClickHouse's HTTP interface instead, as examples/clickhouse.ini has it")
 	work := flag.Duration("work", 20*time.Millisecond, "time that a statement takes, under 250ms")
 	flag.Parse()
 	l, err := net.Listen("tcp", *board)
@@ -22,6 +25,16 @@
 		log.Fatal(err)
 	}
 	go serveBoard(l)
+	if *clickhouse {
+		e := &standin.ClickHouse{Script: func(n int, text string) standin.Fault {
+			log.Printf("event=statement n=%d text=%q", n, text)
+			return standin.Fault{Slow: *work}
+		}}
+		if _, err := e.Start(*engine); err != nil {
+			log.Fatal(err)
+		}
+		select {}
+	}
 	http.HandleFunc("POST /obj", func(w http.ResponseWriter, r *http.Request) {
 		statement, _ := io.ReadAll(r.Body)
 		log.Printf("event=statement id=%s class=%s budget=%s text=%q", r.Header.Get("X-Hop-Id"), r.Header.Get("X-Sort"),
