Bound bodies and results of all ClickHouse connections together, and log in to engines

Need: each body and result was bounded, but a few hundred of them at once would pass the memory limit; and engines may ask for a user.

Change: the front's bodies share 5% of the memory and coming results of ClickHouse engines 15%; who has no room is told so (503, code 241) or the attempt is ended and killed. A zstd window takes 8 MB at most. [kind NAME] takes user and password. A reload names our own settings among what waits for a restart. Every fourth told estimate is measured against the learned one.

--- a/internal/chengine/fleet.go
+++ b/internal/chengine/fleet.go
@@ -46,15 +46,16 @@
 	Faults     *tally.Tally
 	ConnIdle   float64 // ms for which an unused connection is kept
 	MostWires  int
-	MostResult int    // bytes
-	User       string // and password of the engines; "": none is told
-	Password   string
+	MostResult int                                       // bytes of one result
+	MostHeld   int                                       // and of all that are coming; 0: no bound
+	Login      func(kind string) (user, password string) // of engines of a kind; nil or "": none is told
 
 	engines  map[string]*engine
 	order    []*engine
 	at       map[string]*engine // by address
 	attempts map[key]*attempt
 	wires    int
+	held     int // bytes of answers that are coming
 }
 
 type key struct {
@@ -72,7 +73,7 @@
 		if gone {
 			return
 		}
-		e = &engine{f: f, id: m.ID}
+		e = &engine{f: f, id: m.ID, kind: m.Kind}
 		f.engines[m.ID], f.order = e, append(f.order, e)
 	}
 	if m.Addr != "" && m.Addr != e.addr {
@@ -136,15 +137,17 @@
 		tell(nil, link.Unreached)
 		return
 	}
-	e.start(&call{build: func() []byte { return f.request("GET", "/ping", e.addr, nil, "") }, within: probeWithin, most: mostControl, done: tell})
+	e.start(&call{build: func() []byte { return e.request("GET", "/ping", nil, "") }, within: probeWithin, most: mostControl, done: tell})
 }
 
 // request makes the bytes of a call.
-func (f *Fleet) request(method, target, host string, body []byte, extra string) []byte {
+func (e *engine) request(method, target string, body []byte, extra string) []byte {
 	var b bytes.Buffer
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", method, target, host)
-	if f.User != "" {
-		fmt.Fprintf(&b, "X-ClickHouse-User: %s\r\nX-ClickHouse-Key: %s\r\n", f.User, f.Password)
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", method, target, e.addr)
+	if e.f.Login != nil {
+		if user, password := e.f.Login(e.kind); user != "" {
+			fmt.Fprintf(&b, "X-ClickHouse-User: %s\r\nX-ClickHouse-Key: %s\r\n", user, password)
+		}
 	}
 	b.WriteString(extra)
 	if method == "POST" {
@@ -240,7 +243,7 @@
 		set("query", string(text))
 		text = data
 	}
-	return a.f.request("POST", "/?"+v.Encode(), a.e.addr, text, "X-Class: "+a.Class+"\r\n")
+	return a.e.request("POST", "/?"+v.Encode(), text, "X-Class: "+a.Class+"\r\n")
 }
 
 // progress is a line of it, as JSON.
@@ -273,6 +276,8 @@
 	case !a.written:
 		a.finish(link.Unreached)
 	case a.cancelled: // what asks goes on
+	case why == link.Crowded: // its result does not fit beside the others
+		a.revoke(link.Failed)
 	case why == link.Garbled: // what came can't be read, and the query may run on
 		a.revoke(link.Garbled)
 	default:
@@ -392,7 +397,7 @@
 // ctl runs a short query about this one.
 func (a *attempt) ctl(text string, done func(*answer, link.End)) {
 	c := &call{within: controlWithin, most: mostControl}
-	c.build = func() []byte { return a.f.request("POST", "/?default_format=TabSeparated", a.e.addr, []byte(text), "") }
+	c.build = func() []byte { return a.e.request("POST", "/?default_format=TabSeparated", []byte(text), "") }
 	c.done = func(r *answer, e link.End) {
 		if a.control == c {
 			a.control = nil
--- a/internal/chengine/pool.go
+++ b/internal/chengine/pool.go
@@ -40,6 +40,7 @@
 type engine struct {
 	f        *Fleet
 	id       string
+	kind     string
 	addr     string // "" once another engine has it
 	gone     bool
 	idle     []*wire // the last used last
@@ -59,6 +60,7 @@
 	head    *http1.Head
 	body    *http1.Body
 	got     []byte
+	holds   int // bytes of it that count for the fleet
 	interim int
 	over    bool
 	timer   deadline.Entry
@@ -157,6 +159,7 @@
 
 func (w *wire) off() {
 	w.over = true
+	w.hold(0)
 	e := w.e
 	e.f.Deadlines.Clear(&w.timer)
 	for i, x := range e.idle {
@@ -224,6 +227,11 @@
 		return
 	}
 	a, err := w.take(b)
+	if errors.Is(err, errNoRoom) {
+		f.Faults.Add("result-no-room", "engine", w.e.id, "bytes", len(w.got))
+		w.end(link.Crowded)
+		return
+	}
 	if err != nil {
 		f.Faults.Add("engine-garbled", "engine", w.e.id, "addr", w.addr, "error", err)
 		w.end(link.Garbled)
@@ -270,9 +278,15 @@
 	got, used, err := w.body.TakeAll(w.got, w.buf)
 	w.got = got
 	w.buf = append(w.buf[:0], w.buf[used:]...)
+	// Danger: each result is bounded, but those of all attempts together are not.
+	if f := w.e.f; f.MostHeld > 0 && f.held-w.holds+len(got) > f.MostHeld {
+		return nil, errNoRoom
+	}
+	w.hold(len(got))
 	if err != nil || !w.body.Done() {
 		return nil, err
 	}
+	w.hold(0)
 	a := &answer{w.head, w.got}
 	w.head, w.body, w.got, w.interim = nil, nil, nil, 0
 	if cap(w.buf) > 8<<10 {
@@ -281,6 +295,13 @@
 	return a, nil
 }
 
+var errNoRoom = errors.New("no room for the result beside those of others")
+
+func (w *wire) hold(n int) {
+	w.e.f.held += n - w.holds
+	w.holds = n
+}
+
 // look finds the lines of progress in a head that is not whole yet.
 func (w *wire) look() {
 	for w.call != nil && w.call.progress != nil {
--- a/internal/chhttp/front.go
+++ b/internal/chhttp/front.go
@@ -55,9 +55,11 @@
 	Seats       *seats.Seats
 	Random      *rand.Rand
 	Config      config.Config
+	MostHeld    int  // bytes of bodies that all sessions may hold together; 0: no bound
 	Leaving     bool // new queries are refused
 
 	started float64
+	held    int // bytes of bodies that sessions hold
 	all     map[*Session]bool
 	queries map[string]*Session // open ones by query_id
 	locks   map[string]*Session // session_id and user -> whose query runs
@@ -91,6 +93,7 @@
 	head    *http1.Head // of the request whose body is coming
 	body    *http1.Body
 	got     []byte
+	holds   int     // bytes that count for it
 	q       *query  // the open one
 	sent    float64 // when it was taken
 	begun   bool    // the head of its answer has gone out, for progress
@@ -214,6 +217,10 @@
 			f.Deadlines.Set(&s.late, f.Now()+within)
 		}
 	}
+	if !s.hold(max(int(s.head.Length), len(s.got)+len(s.buf))) {
+		s.refuse(503, except(codeMemory, "the bodies of all requests take what memory there is for them"))
+		return false
+	}
 	got, used, err := s.body.TakeAll(s.got, s.buf)
 	s.got, s.buf = got, s.buf[used:]
 	if err != nil {
@@ -235,6 +242,21 @@
 	s.served++
 	s.lastly = h.Close
 	s.handle(h, body)
+	if s.q == nil {
+		s.hold(0)
+	}
+	return true
+}
+
+// hold makes so many bytes count for the session, unless that is more than there is room for. Danger: each body is
+// bounded, but a few hundred of them at once are not.
+func (s *Session) hold(n int) bool {
+	f := s.f
+	if n > s.holds && f.MostHeld > 0 && f.held-s.holds+n > f.MostHeld {
+		return false
+	}
+	f.held += n - s.holds
+	s.holds = n
 	return true
 }
 
@@ -377,6 +399,7 @@
 		return nil
 	}
 	s.q = nil
+	s.hold(0)
 	if s.f.queries[q.id] == s {
 		delete(s.f.queries, q.id)
 	}
@@ -557,6 +580,7 @@
 
 func (s *Session) gone() {
 	s.closed, s.buf, s.got = true, nil, nil
+	s.hold(0)
 	delete(s.f.all, s)
 	s.seat.Leave()
 	for _, e := range []*deadline.Entry{&s.late, &s.again, &s.resting} {
--- a/internal/chhttp/front_test.go
+++ b/internal/chhttp/front_test.go
@@ -121,6 +121,49 @@
 	}
 }
 
+// Bodies of all clients together stay within their bound: who has no room is told so, and others are served on.
+func TestBodiesAreBoundedTogether(t *testing.T) {
+	f, k, _ := front(t)
+	f.MostHeld = 100
+	var all []*Session
+	open := func(text string) (*Session, *sink) {
+		s, c := f.Accept(), &sink{}
+		s.Opened(c)
+		s.Received([]byte(text))
+		all = append(all, s)
+		return s, c
+	}
+	const half = "POST /?user=acme HTTP/1.1\r\nHost: x\r\nContent-Length: 40\r\n\r\nSELECT"
+	one, _ := open(half)
+	_, two := open(half)
+	_, three := open(half)
+	_, chunked := open("POST /?user=acme HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n40\r\n" + strings.Repeat("x", 64))
+	for _, c := range []*sink{three, chunked} {
+		if !strings.Contains(c.b.String(), "503") || !strings.Contains(c.b.String(), "Code: 241") || !c.closed {
+			t.Errorf("one without room hears %q", c.b.String())
+		}
+	}
+	if two.b.Len() > 0 || f.held != 80 {
+		t.Errorf("%d bytes are held; the second hears %q", f.held, two.b.String())
+	}
+	one.Received([]byte(strings.Repeat(" ", 28) + "1 + 1 "))
+	if len(k.open) != 1 || f.held != 80 {
+		t.Errorf("%d open, %d bytes held", len(k.open), f.held)
+	}
+	one.Refuse(0)
+	if f.held != 40 {
+		t.Errorf("%d bytes are held after an answer", f.held)
+	}
+	for _, s := range all {
+		if !s.closed {
+			s.Closed(link.Broken)
+		}
+	}
+	if f.held != 0 {
+		t.Errorf("%d bytes are held by no one", f.held)
+	}
+}
+
 // Whatever a client sends and however it is cut, the front keeps its books: each open request is one session's, nothing
 // of a closed connection is left, and bytes that wait are bounded.
 func FuzzSession(f *testing.F) {
@@ -151,7 +194,7 @@
 			*now += 60000
 			fr.Deadlines.Sweep(*now)
 		}
-		if _, left := fr.Deadlines.Next(); left || len(k.open) > 0 || len(fr.queries) > 0 || len(fr.locks) > 0 || len(fr.all) > 0 || fr.Seats.Count() != 0 {
+		if _, left := fr.Deadlines.Next(); left || len(k.open) > 0 || len(fr.queries) > 0 || len(fr.locks) > 0 || len(fr.all) > 0 || fr.Seats.Count() != 0 || fr.held != 0 {
 			t.Fatalf("left: deadlines %v, %d open, %d queries, %d locks, %d sessions, %d seats", left, len(k.open), len(fr.queries), len(fr.locks), len(fr.all), fr.Seats.Count())
 		}
 	})
--- a/internal/chhttp/pack.go
+++ b/internal/chhttp/pack.go
@@ -40,8 +40,8 @@
 }
 
 const (
-	blockHead  = 25       // bytes: checksum, method, two sizes
-	zstdMemory = 32 << 20 // that a frame's window may take
+	blockHead  = 25      // bytes: checksum, method, two sizes
+	zstdMemory = 8 << 20 // that a window may take: one frame is unpacked at a time
 )
 
 // unpacked undoes a request's content encoding, and the blocks of decompress=1.
--- a/internal/chhttp/request.go
+++ b/internal/chhttp/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"crypto/subtle"
 	"encoding/base64"
 	"encoding/hex"
 	"fmt"
@@ -168,7 +169,7 @@
 	if len(c.Users) > 0 {
 		u, ok := c.Users[name]
 		sum := sha256.Sum256([]byte(password))
-		if !ok || u.Hash != "" && u.Hash != hex.EncodeToString(sum[:]) {
+		if !ok || u.Hash != "" && subtle.ConstantTimeCompare([]byte(u.Hash), []byte(hex.EncodeToString(sum[:]))) != 1 {
 			return "", denied
 		}
 		return u.Tenant, nil
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"reflect"
 	"strconv"
 
 	"thymeway/choice"
@@ -173,7 +174,7 @@
 		differ bool
 	}{{"name", c.Name != o.Name}, {"listen", c.Listen != o.Listen}, {"limits.cores", c.Cores != o.Cores},
 		{"limits.memory_mb", c.MemoryMB != o.MemoryMB}, {"limits.sockets", c.Sockets != o.Sockets},
-		{"settings", !bytes.Equal(a.Bytes(), b.Bytes())}} {
+		{"settings", !bytes.Equal(a.Bytes(), b.Bytes())}, {"our own settings", !reflect.DeepEqual(c.Own, o.Own)}} {
 		if k.differ {
 			keys = append(keys, k.name)
 		}
--- a/internal/config/own.go
+++ b/internal/config/own.go
@@ -27,9 +27,9 @@
 	Shapes   Shapes
 	Roles    map[string]shape.Role // by class; those that are not named follow the class's settings
 	CH       ClickHouse
-	Users    map[string]User   // none: each member is a user of its own name, without a password
-	Metrics  string            // IP:PORT of the listener for Prometheus; "": off
-	Kinds    map[string]string // the protocol of a kind of engine, where it is not the platform's
+	Users    map[string]User // none: each member is a user of its own name, without a password
+	Metrics  string          // IP:PORT of the listener for Prometheus; "": off
+	Kinds    map[string]Kind // what is told of kinds of engines
 }
 
 // ClickHouse are the settings of the front that speaks its HTTP interface.
@@ -43,6 +43,12 @@
 	DisplayName            string
 }
 
+// Kind is what our settings tell of a kind of engines.
+type Kind struct {
+	Protocol       string // rest or clickhouse
+	User, Password string // with which ClickHouse engines are asked; "": without
+}
+
 // User is somebody who may ask.
 type User struct {
 	Tenant string
@@ -171,9 +177,23 @@
 	}},
 	{"kind *", "protocol", "rest", "what engines of a kind speak: rest, the platform's protocol, or clickhouse", func(o *Own, name, v string) error {
 		_, err := oneOf(v, "rest", "clickhouse")
-		o.Kinds[name] = v
+		k := o.Kinds[name]
+		k.Protocol = v
+		o.Kinds[name] = k
 		return err
 	}},
+	{"kind *", "user", "", "user with which ClickHouse engines of the kind are asked; empty: none is told", func(o *Own, name, v string) error {
+		k := o.Kinds[name]
+		k.User = v
+		o.Kinds[name] = k
+		return header(v)
+	}},
+	{"kind *", "password", "", "its password", func(o *Own, name, v string) error {
+		k := o.Kinds[name]
+		k.Password = v
+		o.Kinds[name] = k
+		return header(v)
+	}},
 	{"class *", "role", "", "what a class's statements may do: reads, writes or any; empty: loads write, what may be repeated at will reads", func(o *Own, name, v string) error {
 		if v == "" {
 			return nil
@@ -186,6 +206,16 @@
 	}},
 }
 
+// header tells whether a text can stand in a header.
+func header(v string) error {
+	for i := 0; i < len(v); i++ {
+		if v[i] < ' ' || v[i] == 0x7f {
+			return fmt.Errorf("byte %q can't stand in a header", v[i])
+		}
+	}
+	return nil
+}
+
 func whole(v string, least, most int) (int, error) {
 	n, err := strconv.Atoi(v)
 	if err != nil || n < least || n > most {
@@ -222,7 +252,7 @@
 
 // ParseOwn reads the text of our own settings.
 func ParseOwn(text []byte) (Own, error) {
-	o := Own{Roles: map[string]shape.Role{}, Users: map[string]User{}, Kinds: map[string]string{}}
+	o := Own{Roles: map[string]shape.Role{}, Users: map[string]User{}, Kinds: map[string]Kind{}}
 	for _, s := range ownSettings {
 		if !strings.HasSuffix(s.section, "*") {
 			if err := s.set(&o, "", s.def); err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,6 +30,8 @@
 	engineShare  = 0.4      // of the descriptors, for connections to worker groups; most of the others are the clients'
 	reserve      = 28       // descriptors for the program itself, the board and connections that come and go
 	inputShare   = 0.1      // of the memory, for bytes from clients that wait
+	bodyShare    = 0.05     // of the memory, for bodies of ClickHouse clients; an open one stands there three times
+	resultShare  = 0.15     // of the memory, for results of ClickHouse engines that are coming
 	leastInput   = 16 << 10 // bytes of a message that are read at least
 	mostInput    = 256 << 10
 	stayAfter    = 800.0    // ms that new requests may still come after SIGTERM
@@ -68,12 +70,15 @@
 	book := shape.NewBook(shape.Options{Bytes: c.ShapeBytes(), Seed: c.Seed})
 	keeper := remember(book, c.Own.Shapes)
 	engines, ch := coordinator.Engines(fleet), (*chengine.Fleet)(nil)
-	if slices.Contains(slices.Collect(maps.Values(c.Own.Kinds)), "clickhouse") {
+	speaks := func(k config.Kind) bool { return k.Protocol == "clickhouse" }
+	if slices.ContainsFunc(slices.Collect(maps.Values(c.Own.Kinds)), speaks) {
 		fleet.MostWires /= 2
 		ch = &chengine.Fleet{Dialer: d, Deadlines: queue, Now: now, Faults: faults, ConnIdle: min(c.ConnIdle*idleShare, chIdle),
-			MostWires: fleet.MostWires, MostResult: c.Own.CH.MostResult}
+			MostWires: fleet.MostWires, MostResult: c.Own.CH.MostResult,
+			Login:    func(kind string) (string, string) { return c.Own.Kinds[kind].User, c.Own.Kinds[kind].Password },
+			MostHeld: int(c.MemoryMB * (1 << 20) * resultShare)}
 		engines = &coordinator.Mux{Sides: []coordinator.Engines{fleet, ch}, Side: func(m coordinator.Member) int {
-			if c.Own.Kinds[m.Kind] == "clickhouse" {
+			if speaks(c.Own.Kinds[m.Kind]) {
 				return 1
 			}
 			return 0
@@ -95,7 +100,7 @@
 		Watch: &board.Watch{Dialer: d, Deadlines: queue, Now: now, Listener: coord, Addr: c.Board, Connect: 2 * c.ConnectTimeout}}
 	if c.Own.CH.Listen != "" {
 		n.Front = &chhttp.Front{Coordinator: coord, Deadlines: queue, Faults: faults, Now: now, Margin: answerMargin, Seats: places,
-			Random: rand.New(rand.NewSource(int64(c.Seed) + 2)), Config: c}
+			Random: rand.New(rand.NewSource(int64(c.Seed) + 2)), Config: c, MostHeld: int(c.MemoryMB * (1 << 20) * bodyShare)}
 		n.Front.Start()
 	}
 	if n.keeper = keeper; keeper != nil {
--- a/internal/shape/book.go
+++ b/internal/shape/book.go
@@ -39,6 +39,7 @@
 	families map[uint16]*prior
 	kinds    [Write + 1]prior
 	stats    Stats
+	tolds    uint64 // answers whose request told an estimate
 	told     Sketch
 	own      Sketch
 }
@@ -117,6 +118,9 @@
 	return string(out)
 }
 
+// measured is how many answers with a told estimate one is measured of.
+const measured = 4
+
 // Learn takes what a query of a shape took: the work in ms on one core and the memory in MB, and the work that its
 // request told, 0 if it told none.
 func (b *Book) Learn(s *Shape, told, work, mem float64) {
@@ -124,9 +128,14 @@
 		return
 	}
 	b.stats.Learned++
-	if e := b.Estimate(s); told > 0 && e.Usable() {
-		b.told.Add(off(told, work))
-		b.own.Add(off(e.Work, work))
+	if told > 0 {
+		b.tolds++
+	}
+	if told > 0 && b.tolds%measured == 0 {
+		if e := b.Estimate(s); e.Usable() {
+			b.told.Add(off(told, work))
+			b.own.Add(off(e.Work, work))
+		}
 	}
 	n, mean := s.Price.Work.N(), s.Price.Work.Mean()
 	miss := 0.0
