--- /dev/null
+++ b/choice/attempts.go
@@ -0,0 +1,293 @@
+package choice
+
+// Attempts: taking requests, sending, sending again, giving up. Every rule is checked here.
+
+import (
+	"math"
+	"sort"
+)
+
+// Step takes what happened at one time and returns what to do.
+func (f *Front) Step(now float64, events []Event) []Action {
+	f.now, f.acts = now, nil
+	for _, ev := range events {
+		switch ev := ev.(type) {
+		case EngineList:
+			f.list(ev)
+		case Request:
+			f.take(ev)
+		case Outcome:
+			f.outcome(ev)
+		case Note:
+			f.note(ev)
+		case Gone:
+			if q := f.requests[ev.Request]; q != nil {
+				// Danger: clients that leave early would leave their work on the engines, where it serves no
+				// one.
+				for _, a := range q.out {
+					f.cancel(a)
+				}
+				f.end(q)
+			}
+		case Timer:
+			if f.wakeAt <= now+1 { // danger: a clock rounded down must not leave us without a timer
+				f.wakeAt = math.Inf(1)
+			}
+		case Probed:
+			f.probed(ev)
+		case Told:
+			f.told(ev)
+		case Leaving:
+			f.leave()
+		}
+	}
+	f.averages()
+	f.shares()
+	for r := range f.meanOut {
+		f.meanOut[r] += (f.byRank[r] - f.meanOut[r]) * (1 - math.Exp((f.meanOutAt-now)/partSpan))
+	}
+	f.meanOutAt = now
+	full := now >= f.sweepAt
+	if full {
+		f.sweepAt = now + f.checkEvery
+		f.sweep()
+	}
+	f.dispatch(full)
+	f.wake(f.sweepAt)
+	return f.acts
+}
+
+// take accepts a request.
+func (f *Front) take(r Request) {
+	f.taken.add(f.now, 1)
+	f.tookAll++
+	c := f.class(r.Class)
+	q := &request{Request: r, c: c, effect: effect(r, c), arrived: f.now, probedAt: math.Inf(-1)}
+	q.worth = c.Worth
+	if t := f.tenants[r.Tenant]; t != nil && t.Quota > 0 {
+		// Past its quota a tenant's requests are worth little. Which of them no front can tell alone: each is
+		// worth their mean. Danger: a front among many sees few of a tenant; some more are chance, no burst.
+		t.tokens = t.tokens*math.Exp((t.at-f.now)/quotaSpan) + 1
+		t.at = f.now
+		quota := t.Quota / 1000 / f.fronts * quotaSpan
+		within := (quota + math.Max(quotaChance, quotaSlack*quota)) / t.tokens
+		if within < 1 {
+			q.worth *= within + (1-within)*f.s.OverWorth
+			q.over = within < quotaFar
+		}
+	}
+	f.count(r.Tables, c.Load)
+	f.asking, f.askingAt = f.asking*math.Exp((f.askingAt-f.now)/askSpan)+c.work, f.now
+	f.requests[r.ID] = q
+	if c.InOrder && r.Key != "" {
+		k := f.keys[r.Key]
+		if k == nil {
+			k = &key{}
+			f.keys[r.Key] = k
+		}
+		q.key = k
+		k.line = append(k.line, q)
+	}
+	f.queue(q)
+}
+
+// allowed says whether a rule or an engine's health keeps a request from an engine now.
+func (f *Front) allowed(e *engine, q *request) bool {
+	if !e.listed || f.now < e.badUntil || e.sick(q.c, f.now) {
+		return false
+	}
+	if len(q.c.Zones) > 0 && !has(q.c.Zones, e.Zone) || len(q.c.Kinds) > 0 && !has(q.c.Kinds, e.Kind) {
+		return false // rule: placement
+	}
+	if q.mayRun != nil && (q.effect == Unsafe || q.effect == Keyed &&
+		(f.now-q.mayRunAt >= q.c.Window-f.checkEvery || q.c.Group == GroupZone && q.mayRun.Zone != e.Zone ||
+			q.c.Group == GroupCell && q.mayRun.Cell != e.Cell)) {
+		return false // rule: effects
+	}
+	return f.coldRoom(e, q)
+}
+
+// rationed tells whether one more attempt past the first fits the ration.
+func (f *Front) rationed() bool {
+	if !f.s.Rationed {
+		return true
+	}
+	w := f.s.RationWindow
+	may := f.s.RationFree + f.s.RationShare*f.taken.sum(f.now-w+f.checkEvery)
+	return f.further.sum(f.now-w-f.checkEvery)+1 <= may
+}
+
+// effect is what a repeat of a request may do.
+func effect(r Request, c *class) Effect {
+	if r.Once {
+		return Unsafe
+	}
+	return c.Effect
+}
+
+// send is the one place that sends; every rule is checked here, whatever path led to it.
+func (f *Front) send(q *request, e *engine, t float64) bool {
+	switch {
+	case q.ended, q.sends >= max(f.s.MaxAttempts, 1),
+		len(q.out) > 0 && !(f.s.TwoAttempts && q.effect == Safe),
+		!f.allowed(e, q), // drains, effects, cold engines, placement
+		q.key != nil && (q.key.line[0] != q || f.now < q.key.restUntil), // order
+		q.sends > 0 && !f.rationed():                                    // ration
+		return false
+	}
+	if q.sends > 0 {
+		f.further.add(f.now, 1)
+	}
+	rank, grant := f.rank(q), 0.0
+	// Danger: estimates of memory too low by class make queries spill; their extra work then fills the disks.
+	if f.s.GrantsHeeded && f.s.NotePeriod > 0 { // spills are told
+		grant = q.Mem * q.c.grant
+	}
+	if f.s.RanksHeeded && rank != 1 || grant > 0 {
+		f.do(Terms{q.ID, rank, grant})
+	}
+	f.do(Send{q.ID, e.ID, 0})
+	a := &attempt{q: q, e: e, n: q.sends, rank: rank, sent: f.now, expect: t, warm: f.warmOn(e, q),
+		light: f.load(e) < lightLoad, scale: f.scale(e, q.c.Threads), base: f.work(q) / q.c.Threads}
+	a.note = a.sent
+	q.sends++
+	q.out = append(q.out, a)
+	e.out = append(e.out, a)
+	e.threads += q.c.Threads
+	f.threads += q.c.Threads
+	f.byRank[rank] += q.c.Threads
+	e.tables[q.Tables] = f.now
+	e.abroad = append(e.abroad, abroad{f.now, q.c.Threads, math.Max(t, 1)})
+	if q.density < f.meanDensity() { // few and costly
+		f.tell(e, packNews(newsSend, e, q.c.Threads, t/newsLong, 0))
+	}
+	e.coldSent.add(f.now, math.Max(f.work(q), q.c.work))
+	return true
+}
+
+// outcome handles the end of an attempt.
+func (f *Front) outcome(o Outcome) {
+	q := f.requests[o.Request]
+	if q == nil {
+		return
+	}
+	a := f.drop(q, o.Attempt)
+	if a == nil {
+		return
+	}
+	e, c := a.e, q.c
+	f.heed(e, o.Report)
+	switch o.Result {
+	case OK:
+		f.learn(a, o)
+		v := q.worth
+		if f.now > q.aimAt {
+			v *= c.LateWorth
+		}
+		f.earned.v, f.earned.at = f.earned.v*math.Exp((f.earned.at-f.now)/earnSpan)+v, f.now
+		if !a.spilt {
+			c.grant = math.Max(c.grant*grantDown, 1/clip)
+		}
+		if q.slow > 0 {
+			c.regain, c.regainAt = f.regain(c)+(math.Min(o.Took/q.slow, 2)-f.regain(c))*regainLearn, f.now
+		}
+		e.heard, e.okAt, e.fails, e.errors = f.now, f.now, 0, 0
+		delete(e.ills, c)
+	case Full: // danger: an engine that takes nothing answers at once and, with nothing of ours, looks idle
+		e.heard = f.now
+		if f.sicken(e, c); f.now-e.okAt > trialFirst {
+			f.fail(e)
+		}
+	case Error, Reset:
+		// Danger: an engine that fails fast looks idle and draws all traffic. A single reset may be a poor
+		// link.
+		if o.Result == Error {
+			e.heard = f.now
+		}
+		if f.blame(q, e); e.ill(c).errors >= errorsBad {
+			f.sicken(e, c)
+		}
+		if e.errors >= errorsBad {
+			f.fail(e)
+			if o.Result == Reset {
+				e.backAt = e.badUntil
+			}
+		}
+	case ConnectFailed:
+		f.fail(e)
+		e.backAt = e.badUntil
+	}
+	if o.Result > Moot && o.Result != OK && q.mayRun == nil {
+		q.mayRun, q.mayRunAt = e, a.sent
+	}
+	if q.key != nil && (o.Result == Timeout || o.Result == Reset || o.Result == Cancelled) {
+		q.key.restUntil = math.Max(q.key.restUntil, f.now+f.s.OrderSettle)
+	}
+	switch {
+	case q.ended || o.Ended:
+		f.end(q)
+	case len(q.out) > 0: // another attempt is still out
+	case q.mayRun != nil && q.effect == Unsafe, f.poison(q),
+		o.Result == Timeout && f.now >= q.Deadline-f.lastCall:
+		f.giveUp(q)
+	default:
+		f.queue(q)
+	}
+}
+
+// move cancels an attempt so that its request can go elsewhere, where class, ration and our own bound on such
+// moves allow it.
+func (f *Front) move(a *attempt) {
+	q := a.q
+	if !f.s.CanCancel || a.cancelled || q.ended || q.effect != Safe {
+		return
+	}
+	if q.sends >= f.s.MaxAttempts || !f.rationed() ||
+		f.moves.sum(f.now-moveWindow) >= moveFree+moveShare*f.taken.sum(f.now-moveWindow) {
+		return
+	}
+	f.moves.add(f.now, 1)
+	q.moved++
+	f.cancel(a)
+}
+
+func (f *Front) cancel(a *attempt) {
+	if f.s.CanCancel && !a.cancelled {
+		a.cancelled = true
+		f.do(Cancel{a.q.ID, a.n})
+	}
+}
+
+// giveUp gives the final answer at once: a refusal with advice where a new try does no harm, else a failure.
+func (f *Front) giveUp(q *request) {
+	unrun := q.mayRun == nil && len(q.out) == 0
+	if !f.poison(q) && (unrun || q.effect == Safe || q.effect == Keyed && q.c.Group == GroupAll) {
+		// The advice is spread by lot: those refused at once must not all be back at once.
+		advice := f.s.MaxAdvice * adviceShare * (0.5 + f.rng.Float64())
+		if !f.s.CanAdvise {
+			advice = 0
+		}
+		f.do(Refuse{q.ID, advice})
+	} else {
+		f.do(Fail{q.ID})
+	}
+	f.end(q)
+}
+
+// leave gives all open requests up, in the order of their ids: equal events give equal actions.
+func (f *Front) leave() {
+	ids := make([]string, 0, len(f.requests))
+	for id := range f.requests {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	for _, id := range ids {
+		q := f.requests[id]
+		for _, a := range q.out {
+			f.cancel(a)
+		}
+		if !q.ended {
+			f.giveUp(q)
+		}
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -1,9 +1,10 @@
 package choice
 
+// The state of a front and its bookkeeping. What decides stands in the files that policy names.
+
 import (
 	"math"
 	"math/rand"
-	"slices"
 	"sort"
 )
 
@@ -277,21 +278,6 @@
 	return e
 }
 
-// insert puts a request into the waiting line: densest first, then by aim.
-func (f *Front) insert(q *request) {
-	i := sort.Search(len(f.waiting), func(i int) bool {
-		w := f.waiting[i]
-		if w.density != q.density {
-			return w.density < q.density
-		}
-		return w.aimAt > q.aimAt
-	})
-	f.waiting = append(f.waiting, nil)
-	copy(f.waiting[i+1:], f.waiting[i:])
-	f.waiting[i] = q
-	q.waiting = true
-}
-
 // drop takes an attempt off its engine and request.
 func (f *Front) drop(q *request, n int) *attempt {
 	for i, a := range q.out {
@@ -332,24 +318,6 @@
 	}
 }
 
-// leave gives all open requests up, in the order of their ids: equal events give equal actions.
-func (f *Front) leave() {
-	ids := make([]string, 0, len(f.requests))
-	for id := range f.requests {
-		ids = append(ids, id)
-	}
-	sort.Strings(ids)
-	for _, id := range ids {
-		q := f.requests[id]
-		for _, a := range q.out {
-			f.cancel(a)
-		}
-		if !q.ended {
-			f.giveUp(q)
-		}
-	}
-}
-
 // averages renews the mean factors of the engines heard of.
 func (f *Front) averages() {
 	var ws, wn, cs, cn, cores float64
@@ -483,70 +451,9 @@
 	}
 }
 
-// loadShare is the part of the time that a table group is held at one of its homes, if our peers get loads as we do.
-func (f *Front) loadShare(q *request) float64 {
-	g := f.group(q.Tables)
-	rate := g.loads * math.Exp((g.at-f.now)/warmFor) / warmFor * f.fronts
-	return math.Min(rate*f.lockWait()/lockSpan/float64(len(f.homes(q))), 1)
-}
-
-// effect is what a repeat of a request may do.
-func effect(r Request, c *class) Effect {
-	if r.Once {
-		return Unsafe
-	}
-	return c.Effect
-}
-
-// hint is what an estimate has to be multiplied with.
-func (q *request) hint() float64 {
-	if q.Learned {
-		return 1
-	}
-	return q.c.hintRatio
-}
-
-// blame counts an error against its engine. Danger: a request that fails wherever it goes would have every engine
-// paused; from the second engine on it counts against none.
-func (f *Front) blame(q *request, e *engine) {
-	if !slices.Contains(q.erred, e) {
-		if q.erred = append(q.erred, e); len(q.erred) == 2 {
-			q.erred[0].errors = max(q.erred[0].errors-1, 0)
-		}
-	}
-	if len(q.erred) < 2 {
-		e.errors++
-		i := e.ill(q.c)
-		i.errors++
-		e.ills[q.c] = i
-	}
-}
-
 func (e *engine) ill(c *class) ill {
 	if e.ills == nil {
 		e.ills = map[*class]ill{}
 	}
 	return e.ills[c]
 }
-
-// sicken pauses an engine for one class. Danger: an engine that fails one class and answers the others looks well; and
-// were it paused for all, the others would lose it.
-func (f *Front) sicken(e *engine, c *class) {
-	i := e.ill(c)
-	if f.now >= i.until {
-		i.until = f.now + f.pause(i.fails)
-		i.fails++
-		e.ills[c] = i
-	}
-}
-
-// sick tells whether a class must not go there now: it is paused, or one attempt is trying it again.
-func (e *engine) sick(c *class, now float64) bool {
-	i := e.ills[c]
-	return now < i.until || i.fails > 0 && slices.ContainsFunc(e.out, func(a *attempt) bool { return a.q.c == c })
-}
-
-// poison tells that a request has failed on so many engines that it is at fault itself.
-func (f *Front) poison(q *request) bool {
-	return len(q.erred) >= max(2, min(errorsMost, len(f.usable)))
-}
