Let late requests wait behind those still in time, and see storms of retries

Need: after all engines were gone for 30 s, service took up to a minute to return though they were back. A rig in virtual time (fronts, cold engines, clients that come back, half of them at once) showed the cause: requests that had waited or come back went by worth per work as if they could still be in time, ahead of fresh ones, which so were late in their turn.

--- a/choice/hold.go
+++ b/choice/hold.go
@@ -3,6 +3,7 @@
 // Holding: which waiting request goes where, now or later (1, 3 to 5).
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"sort"
@@ -14,7 +15,7 @@
 		f.giveUp(q)
 		return
 	}
-	q.density = q.worth / f.work(q)
+	q.density, q.late = q.worth/f.work(q), false
 	q.aimAt = math.Min(q.arrived+q.c.Aim+q.c.AimStretch*f.work(q)/q.c.Threads, q.Deadline)
 	q.held = -1
 	f.insert(q)
@@ -35,9 +36,26 @@
 	q.waiting = true
 }
 
+// demote puts what can no longer meet its aim behind what can, by what it still earns. Danger: after an
+// outage, requests that are late already would go ahead of fresh ones, and these would be late in their turn.
+func (f *Front) demote() {
+	moved := false
+	for _, q := range f.waiting {
+		if !q.late && f.now+f.work(q)/q.c.Threads > q.aimAt {
+			q.late, q.density, moved = true, q.density*q.c.LateWorth, true
+		}
+	}
+	if moved {
+		slices.SortStableFunc(f.waiting, func(a, b *request) int { return cmp.Compare(b.density, a.density) })
+	}
+}
+
 // dispatch decides on waiting requests, those first that are worth most per work.
 func (f *Front) dispatch(all bool) {
 	n := len(f.waiting)
+	if all {
+		f.demote()
+	}
 	if !all && n > lookMost {
 		n = lookMost
 	}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -112,6 +112,8 @@
 	roles     map[string]shape.Role
 	doubted   [shape.Doubts]uint64
 	Accounts  account.Book
+	watch     *watch
+	toldAt    float64
 }
 
 // Reading is how statements are recognised.
@@ -132,6 +134,7 @@
 	for i, t := range s.Tenants {
 		c.tenants[t.Name] = i
 	}
+	c.watch = newWatch(c.tenants)
 	return c
 }
 
@@ -204,6 +207,7 @@
 	c.judge(r)
 	q := &open{Request: r, taken: c.now(), count: c.Accounts.Of(account.Key{Tenant: r.Tenant, Class: r.Class, Protocol: r.Protocol})}
 	q.count.Taken++
+	c.watch.took(r, q.taken)
 	q.count.Asked += c.classes[r.Class].Worth
 	if r.Repeat {
 		q.count.Repeats++
@@ -236,7 +240,9 @@
 		if work <= 0 {
 			work = q.Work
 		}
-		q.count.End(e, c.now()-q.taken, account.Aim(k.Aim, k.AimStretch, work, k.Threads), k.Worth, k.LateWorth)
+		took, aim := c.now()-q.taken, account.Aim(k.Aim, k.AimStretch, work, k.Threads)
+		q.count.End(e, took, aim, k.Worth, k.LateWorth)
+		c.watch.ended(q.Request, e, e == account.Served && took <= aim, c.now())
 	}
 	c.forget(q)
 }
@@ -247,6 +253,8 @@
 	}
 }
 
+const watchEvery = 100.0 // ms between two looks at the states of surges
+
 // Leave has the module answer all that is still open, as the program ends.
 func (c *Coordinator) Leave() { c.tell(choice.Leaving{}) }
 
@@ -314,6 +322,10 @@
 	}
 	events := c.events
 	c.events = nil
+	if now := c.now(); now >= c.toldAt+watchEvery {
+		c.toldAt = now
+		c.watch.tell(now)
+	}
 	for _, a := range c.front.Step(c.now(), events) {
 		c.perform(a)
 	}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -13,16 +13,18 @@
 
 	"thymeway/internal/account"
 	"thymeway/internal/shape"
+	"thymeway/internal/surge"
 )
 
 // Snapshot is a copy of what is told.
 type Snapshot struct {
 	Accounts []account.Row
 	Shapes   shape.Stats
-	Doubts   map[string]uint64 // requests on the safe default, by reason
-	Owed     int               // requests without their answer
-	Out      int               // attempts that may run
-	Clients  int               // connections of clients
+	Doubts   map[string]uint64      // requests on the safe default, by reason
+	Owed     int                    // requests without their answer
+	Out      int                    // attempts that may run
+	Clients  int                    // connections of clients
+	Surges   map[string]surge.State // by member; all under ""
 }
 
 const (
@@ -52,6 +54,7 @@
 	doubts   = desc("doubted_total", "Requests never sent again for their statement.", "why")
 	owed     = desc("owed", "Requests without their answer.")
 	out      = desc("attempts_out", "Attempts that may run on some engine.")
+	surges   = desc("surge_state", "0 calm, 1 storm, 2 recovering; of all under the empty name.", "tenant")
 	clients  = desc("client_connections", "Connections of clients.")
 	looks    = desc("statements_total", "Statements looked up.")
 	hits     = desc("shape_hits_total", "Of these, those whose shape was remembered.")
@@ -102,6 +105,9 @@
 	for why, n := range s.Doubts {
 		count(doubts, float64(n), why)
 	}
+	for t, st := range s.Surges {
+		ch <- prometheus.MustNewConstMetric(surges, prometheus.GaugeValue, float64(st), t)
+	}
 	gauge(owed, float64(s.Owed))
 	gauge(out, float64(s.Out))
 	gauge(clients, float64(s.Clients))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"thymeway/internal/seats"
 	"thymeway/internal/shape"
 	"thymeway/internal/snapshot"
+	"thymeway/internal/surge"
 	"thymeway/internal/tally"
 )
 
@@ -150,6 +151,10 @@
 func (n *Node) Snapshot() metrics.Snapshot {
 	s := metrics.Snapshot{Accounts: n.Coordinator.Accounts.Rows(), Shapes: n.Shapes.Stats(), Doubts: map[string]uint64{},
 		Owed: n.Coordinator.Owed(), Out: n.out(), Clients: n.seats.Count()}
+	s.Surges = map[string]surge.State{"": n.Coordinator.Surge("")}
+	for _, t := range n.config.Choice.Tenants {
+		s.Surges[t.Name] = n.Coordinator.Surge(t.Name)
+	}
 	for d := shape.Sure + 1; d < shape.Doubts; d++ {
 		if k := n.Coordinator.Doubted(d); k > 0 {
 			s.Doubts[d.String()] = k
