Let the module end rejected requests, and bound all that ClickHouse clients make wait

Cause: a look over the whole change found decisions and bounds in the wrong place.

- Whether a query that an engine rejects goes out again was decided in the coordinator; it is an outcome of its own now (choice.Rejected), and the module fails the request.
- A session that was ended for writing on behind its open request released the request without dropping it: the answer then came to a session without one and would have ended the program.
Now it is dropped first.
- What waited behind an open request, and heads, did not count in the bound on all clients; all bytes of a session do now.
- Work of ClickHouse engines was the elapsed time, whatever threads the class runs on.
- One interface for what engines tell, in place of two alike.

--- a/choice/api.go
+++ b/choice/api.go
@@ -155,12 +155,13 @@
 // Result is how an attempt ended.
 type Result int
 
-// The ways in which an attempt ends. The first three prove that it never ran,
+// The ways in which an attempt ends. The first four prove that it never ran,
 // the last four do not.
 const (
 	Full Result = iota
 	ConnectFailed
 	Moot
+	Rejected // the engine found the request itself at fault, as any other would
 	OK
 	Error
 	Timeout
--- a/choice/attempts.go
+++ b/choice/attempts.go
@@ -216,8 +216,10 @@
 	case ConnectFailed:
 		f.fail(e)
 		e.backAt = e.badUntil
+	case Rejected:
+		q.rejected = true
 	}
-	if o.Result > Moot && o.Result != OK && q.mayRun == nil {
+	if o.Result > Rejected && o.Result != OK && q.mayRun == nil {
 		q.mayRun, q.mayRunAt = e, a.sent
 	}
 	if q.key != nil && (o.Result == Timeout || o.Result == Reset || o.Result == Cancelled) {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -1111,3 +1111,20 @@
 		t.Errorf("it changes the correction from %v to %v", was, c.hintRatio)
 	}
 }
+
+// A request that an engine finds at fault itself is failed at once: it is not sent anywhere else, not refused, and no
+// engine is blamed for it.
+func TestRejected(t *testing.T) {
+	for _, class := range []string{"quick", "keyed", "load"} {
+		r := newRig(t, base(), eng("e1"), eng("e2"))
+		s := r.one(r.step(1, req("q", class, r)))
+		acts := r.step(5, Outcome{Request: "q", Engine: s.Engine, Result: Rejected, Took: 5})
+		if f := finals(acts); len(f) != 1 || f[0] != "fail q" || len(sends(acts)) > 0 {
+			t.Errorf("%s: %v", class, acts)
+		}
+		e := r.f.byID[s.Engine]
+		if e.errors > 0 || e.fails > 0 || e.badUntil > 0 || len(r.f.requests) > 0 {
+			t.Errorf("%s: its engine is blamed: %d errors, %d fails", class, e.errors, e.fails)
+		}
+	}
+}
--- a/choice/health.go
+++ b/choice/health.go
@@ -109,9 +109,9 @@
 	return now < i.until || i.fails > 0 && slices.ContainsFunc(e.out, trying)
 }
 
-// poison tells that a request has failed on so many engines that it is at fault itself.
+// poison tells that a request is at fault itself: an engine said so, or it has failed on so many.
 func (f *Front) poison(q *request) bool {
-	return len(q.erred) >= max(2, min(errorsMost, len(f.usable)))
+	return q.rejected || len(q.erred) >= max(2, min(errorsMost, len(f.usable)))
 }
 
 // probe asks engines for their load where reports come no other way, within a share of the traffic.
--- a/choice/state.go
+++ b/choice/state.go
@@ -119,6 +119,7 @@
 	over           bool
 	held           float64 // since when, or -1
 	waiting, ended bool
+	rejected       bool
 	late           bool // it waits though it can no longer meet its aim
 	sends, moved   int
 	probedAt       float64
--- a/internal/chengine/fleet.go
+++ b/internal/chengine/fleet.go
@@ -30,19 +30,12 @@
 	tooMany       = 202      // TOO_MANY_SIMULTANEOUS_QUERIES: turned away unseen
 )
 
-// Watcher is told what becomes of attempts and probes.
-type Watcher interface {
-	Ended(coordinator.Outcome)
-	Noted(id, engine string, attempt int, kind choice.NoteKind, level float64)
-	Probed(coordinator.Outcome)
-}
-
 // Fleet is all engines of this kind that were ever named.
 type Fleet struct {
 	Dialer     link.Dialer
 	Deadlines  *deadline.Queue
 	Now        func() float64
-	Watcher    Watcher
+	Watcher    coordinator.Watcher
 	Faults     *tally.Tally
 	ConnIdle   float64 // ms for which an unused connection is kept
 	MostWires  int
@@ -315,7 +308,8 @@
 		}
 		a.outcome.Result = set
 		a.outcome.Took = a.f.Now() - a.sent
-		a.outcome.Work, a.outcome.Mem = summary(r.Get("x-clickhouse-summary"))
+		elapsed, mem := summary(r.Get("x-clickhouse-summary"))
+		a.outcome.Work, a.outcome.Mem = elapsed*a.Threads, mem // of all its threads, as the module counts work
 		a.finish(link.Served)
 	}
 }
@@ -341,8 +335,8 @@
 		bytes.Contains(r.body, []byte("\r\n__exception__\r\n"))
 }
 
-// summary gives the work in ms and the memory in MB of a query: what it took on the engine, as it tells no more.
-func summary(text string) (work, mem float64) {
+// summary gives the time on the engine in ms and the memory in MB of a query; it tells no processor time.
+func summary(text string) (elapsed, mem float64) {
 	var s struct {
 		Elapsed string `json:"elapsed_ns"`
 		Memory  string `json:"memory_usage"`
--- a/internal/chhttp/front.go
+++ b/internal/chhttp/front.go
@@ -55,11 +55,11 @@
 	Seats       *seats.Seats
 	Random      *rand.Rand
 	Config      config.Config
-	MostHeld    int  // bytes of bodies that all sessions may hold together; 0: no bound
+	MostHeld    int  // bytes of requests that all sessions may hold together; 0: no bound
 	Leaving     bool // new queries are refused
 
 	started float64
-	held    int // bytes of bodies that sessions hold
+	held    int // bytes that sessions hold
 	all     map[*Session]bool
 	queries map[string]*Session // open ones by query_id
 	locks   map[string]*Session // session_id and user -> whose query runs
@@ -146,6 +146,10 @@
 	s.seat.Busy()
 	s.f.Deadlines.Clear(&s.resting)
 	s.buf = append(s.buf, b...)
+	if !s.hold(s.weight()) {
+		s.noRoom()
+		return
+	}
 	s.proceed()
 }
 
@@ -169,6 +173,7 @@
 	if s.closed {
 		return
 	}
+	s.hold(s.weight()) // it is less than before
 	switch most := mostHead + f.Config.Own.CH.MostBody; {
 	case len(s.buf) > most: // danger: a client that writes on and on behind an open request
 		s.refuse(413, except(codeTooLarge, "over %d bytes behind an open request", most))
@@ -217,8 +222,8 @@
 			f.Deadlines.Set(&s.late, f.Now()+within)
 		}
 	}
-	if !s.hold(max(int(s.head.Length), len(s.got)+len(s.buf))) {
-		s.refuse(503, except(codeMemory, "the bodies of all requests take what memory there is for them"))
+	if !s.hold(s.weight()) {
+		s.noRoom()
 		return false
 	}
 	got, used, err := s.body.TakeAll(s.got, s.buf)
@@ -242,14 +247,28 @@
 	s.served++
 	s.lastly = h.Close
 	s.handle(h, body)
-	if s.q == nil {
-		s.hold(0)
-	}
 	return true
 }
 
-// hold makes so many bytes count for the session, unless that is more than there is room for. Danger: each body is
-// bounded, but a few hundred of them at once are not.
+// weight is how many bytes a session holds, or will: what waits to be read, a body that is coming, an open query.
+func (s *Session) weight() int {
+	n := len(s.buf)
+	if s.head != nil {
+		n += max(int(s.head.Length)-len(s.buf), len(s.got))
+	}
+	if s.q != nil {
+		n += len(s.q.Statement)
+	}
+	return n
+}
+
+// noRoom tells a client that its bytes find no room beside those of others.
+func (s *Session) noRoom() {
+	s.refuse(503, except(codeMemory, "the requests of all clients take what memory there is for them"))
+}
+
+// hold makes so many bytes count for the session, unless that is more than there is room for. Danger: what one client
+// sends is bounded, but what a few hundred send at once is not.
 func (s *Session) hold(n int) bool {
 	f := s.f
 	if n > s.holds && f.MostHeld > 0 && f.held-s.holds+n > f.MostHeld {
@@ -276,8 +295,10 @@
 	s.refuse(status, except(codeProtocol, "%v", err))
 }
 
-// refuse answers what can't be read, and ends the connection. What still comes is not read.
+// refuse answers what can't be read, and ends the connection. What still comes is not read. Danger: a query that is
+// open there is dropped, or its answer would come to a session that has none.
 func (s *Session) refuse(status int, err error) {
+	s.abandon()
 	s.lastly = true
 	s.fail(status, err, nil)
 }
@@ -399,7 +420,7 @@
 		return nil
 	}
 	s.q = nil
-	s.hold(0)
+	s.hold(s.weight())
 	if s.f.queries[q.id] == s {
 		delete(s.f.queries, q.id)
 	}
@@ -579,14 +600,14 @@
 }
 
 func (s *Session) gone() {
-	s.closed, s.buf, s.got = true, nil, nil
-	s.hold(0)
+	s.closed, s.buf, s.got, s.head = true, nil, nil, nil
 	delete(s.f.all, s)
 	s.seat.Leave()
 	for _, e := range []*deadline.Entry{&s.late, &s.again, &s.resting} {
 		s.f.Deadlines.Clear(e)
 	}
 	s.abandon()
+	s.hold(0)
 }
 
 func unescaped(s string) string { return string(result.Unescape(nil, []byte(s))) }
--- a/internal/coordinator/mux.go
+++ b/internal/coordinator/mux.go
@@ -14,14 +14,12 @@
 	if m.of == nil {
 		m.of = map[string]Engines{}
 	}
-	side := m.of[x.ID]
-	if side == nil || x.Kind != "" {
-		if to := m.Sides[m.Side(x)]; side != nil && to != side { // it came back as another kind
-			side.Know(Member{Engine: choice.Engine{ID: x.ID, Status: choice.Removed}})
-			side = to
-		} else {
-			side = to
-		}
+	side, was := m.of[x.ID], m.of[x.ID]
+	if was == nil || x.Kind != "" {
+		side = m.Sides[m.Side(x)]
+	}
+	if was != nil && was != side { // it came back as another kind
+		was.Know(Member{Engine: choice.Engine{ID: x.ID, Status: choice.Removed}})
 	}
 	m.of[x.ID] = side
 	side.Know(x)
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -33,7 +33,7 @@
 
 func (e End) String() string { return names[e] }
 
-// Result is the module's outcome for each way to end. Danger: Full, ConnectFailed and Moot promise the module
+// Result is the module's outcome for each way to end. Danger: Full, ConnectFailed, Moot and Rejected promise the module
 // that nothing ran; only an answer that says so, or a connection that never came up, may be mapped to them.
 func (e End) Result() choice.Result {
 	switch e {
@@ -41,7 +41,9 @@
 		return choice.OK
 	case Full:
 		return choice.Full
-	case Over, Crowded, Rejected:
+	case Rejected:
+		return choice.Rejected
+	case Over, Crowded:
 		return choice.Moot
 	case Failed, Lost, Broken: // danger: a reset says nothing of the process; taken for a restart, it would make it cold
 		return choice.Error
--- a/internal/rest/fleet.go
+++ b/internal/rest/fleet.go
@@ -31,19 +31,12 @@
 	mostResult   = 48000 // bytes of a whole result
 )
 
-// Watcher is told what becomes of attempts and probes, sometimes before the call that starts them returns.
-type Watcher interface {
-	Ended(coordinator.Outcome)
-	Noted(id, engine string, attempt int, kind choice.NoteKind, level float64)
-	Probed(coordinator.Outcome)
-}
-
 // Fleet is all worker groups that were ever named.
 type Fleet struct {
 	Dialer         link.Dialer
 	Deadlines      *deadline.Queue
 	Now            func() float64
-	Watcher        Watcher
+	Watcher        coordinator.Watcher
 	Faults         *tally.Tally
 	ConnectTimeout float64
 	ConnIdle       float64 // for which an unused connection is kept
