Keep where servers are by one directory for both kinds of engines

Cause: which server has an address, who lost it to another and when one is forgotten was written twice, with the rule that a new server must get nothing of the one before it. The second time it had a hole: a connection that came up after its engine's address had gone to another one took the query there.

Change: internal/directory, used by rest and chengine; a connection to an address that is another's by now is refused as it comes up, and a query whose engine lost its address counts as dead with its process.

--- a/internal/chengine/fleet.go
+++ b/internal/chengine/fleet.go
@@ -14,6 +14,7 @@
 	"thymeway/choice"
 	"thymeway/internal/coordinator"
 	"thymeway/internal/deadline"
+	"thymeway/internal/directory"
 	"thymeway/internal/link"
 	"thymeway/internal/result"
 	"thymeway/internal/tally"
@@ -43,9 +44,7 @@
 	MostHeld   int                                       // and of all that are coming; 0: no bound
 	Login      func(kind string) (user, password string) // of engines of a kind; nil or "": none is told
 
-	engines  map[string]*engine
-	order    []*engine
-	at       map[string]*engine // by address
+	engines  directory.Directory[*engine]
 	attempts map[key]*attempt
 	wires    int
 	held     int // bytes of answers that are coming
@@ -56,69 +55,21 @@
 	n  int
 }
 
-// Know takes an entry of the list: where an engine is, or that it has gone.
+// Know takes an entry of the list.
 func (f *Fleet) Know(m coordinator.Member) {
-	if f.engines == nil {
-		f.engines, f.at, f.attempts = map[string]*engine{}, map[string]*engine{}, map[key]*attempt{}
-	}
-	e, gone := f.engines[m.ID], m.Status == choice.Removed
-	if e == nil {
-		if gone {
-			return
-		}
-		e = &engine{f: f, id: m.ID, kind: m.Kind}
-		f.engines[m.ID], f.order = e, append(f.order, e)
-	}
-	if m.Addr != "" && m.Addr != e.addr {
-		// Danger: a new engine may have the address of one that has gone. It must get none of its connections.
-		if o := f.at[m.Addr]; o != nil {
-			o.addr = ""
-			o.leave()
-		}
-		if f.at[e.addr] == e {
-			delete(f.at, e.addr)
-		}
-		e.leave()
-		e.addr, f.at[m.Addr] = m.Addr, e
-	}
-	if e.gone = gone; gone {
-		e.leave()
-		f.forget(e)
-	}
+	f.engines.Know(m.ID, m.Addr, m.Status == choice.Removed, func(p directory.Place) *engine { return &engine{f: f, Place: p, kind: m.Kind} })
 }
 
 // Only takes a whole list: engines that it does not name have gone.
-func (f *Fleet) Only(named map[string]bool) {
-	for _, e := range append([]*engine(nil), f.order...) {
-		if !named[e.id] && !e.gone {
-			f.Know(coordinator.Member{Engine: choice.Engine{ID: e.id, Status: choice.Removed}})
-		}
-	}
-}
-
-// forget drops an engine that has gone, once nothing of it is left.
-func (f *Fleet) forget(e *engine) {
-	if !e.gone || e.wires > 0 || e.attempts > 0 || f.engines[e.id] != e {
-		return
-	}
-	delete(f.engines, e.id)
-	if f.at[e.addr] == e {
-		delete(f.at, e.addr)
-	}
-	for i, x := range f.order {
-		if x == e {
-			f.order = append(f.order[:i:i], f.order[i+1:]...)
-			break
-		}
-	}
-}
+func (f *Fleet) Only(named map[string]bool) { f.engines.Only(named) }
 
 // Out is the number of attempts that may run on some engine.
 func (f *Fleet) Out() int { return len(f.attempts) }
 
 // Probe asks whether an engine answers.
 func (f *Fleet) Probe(id string) {
-	e, sent := f.engines[id], f.Now()
+	e, _ := f.engines.Get(id)
+	sent := f.Now()
 	tell := func(a *answer, why link.End) {
 		p := coordinator.Outcome{Engine: id, End: why, Took: f.Now() - sent}
 		if a != nil && a.Status != 200 {
@@ -126,7 +77,7 @@
 		}
 		f.Watcher.Probed(p)
 	}
-	if e == nil || e.addr == "" {
+	if e == nil || e.Addr == "" {
 		tell(nil, link.Unreached)
 		return
 	}
@@ -136,7 +87,7 @@
 // request makes the bytes of a call.
 func (e *engine) request(method, target string, body []byte, extra string) []byte {
 	var b bytes.Buffer
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", method, target, e.addr)
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", method, target, e.Addr)
 	if e.f.Login != nil {
 		if user, password := e.f.Login(e.kind); user != "" {
 			fmt.Fprintf(&b, "X-ClickHouse-User: %s\r\nX-ClickHouse-Key: %s\r\n", user, password)
@@ -172,12 +123,16 @@
 
 // Send starts an attempt.
 func (f *Fleet) Send(s coordinator.Attempt) {
-	a := &attempt{Attempt: s, f: f, e: f.engines[s.Engine], sent: f.Now(), query: s.ID + "-" + strconv.Itoa(s.Number)}
+	e, _ := f.engines.Get(s.Engine)
+	a := &attempt{Attempt: s, f: f, e: e, sent: f.Now(), query: s.ID + "-" + strconv.Itoa(s.Number)}
 	a.outcome = coordinator.Outcome{Request: a.ID, Engine: a.Engine, Attempt: a.Number}
-	if a.e == nil || a.e.addr == "" {
+	if a.e == nil || a.e.Addr == "" {
 		a.finish(link.Unreached)
 		return
 	}
+	if f.attempts == nil {
+		f.attempts = map[key]*attempt{}
+	}
 	f.attempts[key{a.ID, a.Number}] = a
 	a.e.attempts++
 	a.budget.Do = func() {
@@ -412,7 +367,7 @@
 		case a.over:
 		case r != nil && r.Status == 200 && string(bytes.TrimSpace(r.body)) == "0":
 			a.finish(a.end)
-		case e == link.Refused && a.e.open == 0: // its process has ended, and the query with it
+		case e == link.Refused && (a.e.open == 0 || a.e.Addr == ""): // its process has ended, and the query with it
 			if a.end == link.Lost {
 				a.end = link.Died
 			}
@@ -442,7 +397,7 @@
 	if k := (key{a.ID, a.Number}); f.attempts[k] == a {
 		delete(f.attempts, k)
 		a.e.attempts--
-		defer f.forget(a.e)
+		defer f.engines.Forget(a.e)
 	}
 	a.outcome.End = e
 	if e != link.Served {
--- a/internal/chengine/pool.go
+++ b/internal/chengine/pool.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"thymeway/internal/deadline"
+	"thymeway/internal/directory"
 	"thymeway/internal/http1"
 	"thymeway/internal/link"
 )
@@ -38,11 +39,9 @@
 
 // engine is one server and its connections.
 type engine struct {
+	directory.Place
 	f        *Fleet
-	id       string
 	kind     string
-	addr     string // "" once another engine has it
-	gone     bool
 	idle     []*wire // the last used last
 	wires    int
 	open     int
@@ -73,7 +72,7 @@
 
 // start writes a call to an idle connection, or to one that it opens.
 func (e *engine) start(c *call) {
-	if e.addr == "" { // its process has ended: another one listens there
+	if e.Addr == "" { // its process has ended: another one listens there
 		c.done(nil, link.Refused)
 		return
 	}
@@ -91,11 +90,11 @@
 		c.done(nil, link.Crowded)
 		return
 	}
-	w := &wire{e: e, addr: e.addr, call: c}
+	w := &wire{e: e, addr: e.Addr, call: c}
 	c.wire = w
 	e.wires++
 	e.f.wires++
-	e.f.Dialer.Dial(e.addr, w)
+	e.f.Dialer.Dial(e.Addr, w)
 }
 
 // room tells whether one more connection may be opened, closing an idle one if that makes room.
@@ -103,7 +102,7 @@
 	if f.wires < f.MostWires {
 		return true
 	}
-	for _, e := range f.order {
+	for _, e := range f.engines.All() {
 		if len(e.idle) > 0 {
 			e.idle[0].finish()
 			return true
@@ -112,8 +111,14 @@
 	return false
 }
 
-// leave closes what is idle.
-func (e *engine) leave() {
+// Left tells whether nothing of the engine's is open or out.
+func (e *engine) Left() bool { return e.wires == 0 && e.attempts == 0 }
+
+// Lose has nothing to end: each call has a connection of its own, which finds out as it comes up.
+func (e *engine) Lose() {}
+
+// Leave closes what is idle.
+func (e *engine) Leave() {
 	for len(e.idle) > 0 {
 		e.idle[0].finish()
 	}
@@ -137,7 +142,7 @@
 // rest keeps the connection for the next call.
 func (w *wire) rest() {
 	e := w.e
-	if e.gone || w.addr != e.addr {
+	if e.Gone || w.addr != e.Addr {
 		w.finish()
 		return
 	}
@@ -177,7 +182,7 @@
 	}
 	e.wires--
 	e.f.wires--
-	e.f.forget(e)
+	e.f.engines.Forget(e)
 }
 
 // end closes the connection and tells its call how it ended.
@@ -199,6 +204,10 @@
 		c.Close()
 		return
 	}
+	if w.addr != w.e.Addr { // danger: another engine listens there by now
+		w.end(link.Refused)
+		return
+	}
 	w.write(w.call)
 }
 
@@ -222,18 +231,18 @@
 		return
 	}
 	if w.call == nil {
-		f.Faults.Add("engine-unasked", "engine", w.e.id, "addr", w.addr, "bytes", len(b))
+		f.Faults.Add("engine-unasked", "engine", w.e.ID, "addr", w.addr, "bytes", len(b))
 		w.finish()
 		return
 	}
 	a, err := w.take(b)
 	if errors.Is(err, errNoRoom) {
-		f.Faults.Add("result-no-room", "engine", w.e.id, "bytes", len(w.got))
+		f.Faults.Add("result-no-room", "engine", w.e.ID, "bytes", len(w.got))
 		w.end(link.Crowded)
 		return
 	}
 	if err != nil {
-		f.Faults.Add("engine-garbled", "engine", w.e.id, "addr", w.addr, "error", err)
+		f.Faults.Add("engine-garbled", "engine", w.e.ID, "addr", w.addr, "error", err)
 		w.end(link.Garbled)
 		return
 	}
--- a/internal/rest/attempt.go
+++ b/internal/rest/attempt.go
@@ -37,10 +37,13 @@
 
 func (a *attempt) begin() {
 	a.ended = coordinator.Outcome{Request: a.ID, Engine: a.Engine, Attempt: a.Number}
-	if a.g == nil || a.g.addr == "" {
+	if a.g == nil || a.g.Addr == "" {
 		a.finish(link.Unreached)
 		return
 	}
+	if a.f.attempts == nil {
+		a.f.attempts = map[key]*attempt{}
+	}
 	a.f.attempts[key{a.ID, a.Number}] = a
 	a.g.attempts++
 	a.budget.Do = func() {
@@ -79,14 +82,14 @@
 		h = append(h, "Grant-Mb", strconv.Itoa(int(math.Ceil(a.Grant))))
 	}
 	h = append(h, "Content-Length", strconv.Itoa(len(a.Statement)))
-	return request("POST", "/obj", a.g.addr, a.Statement, h)
+	return request("POST", "/obj", a.g.Addr, a.Statement, h)
 }
 
 func (a *attempt) get(page int) []byte {
 	if page == 0 {
 		a.askedAt = a.f.Now()
 	}
-	return request("GET", "/obj/"+a.ID+"/"+strconv.Itoa(page), a.g.addr, "", nil)
+	return request("GET", "/obj/"+a.ID+"/"+strconv.Itoa(page), a.g.Addr, "", nil)
 }
 
 // posted is the end of the first call. Only a connection that never came up proves that nothing ran.
@@ -276,7 +279,7 @@
 	if done == nil {
 		done = func(*reply, link.End) {}
 	}
-	a.g.start(&call{build: func() []byte { return request("DELETE", "/obj/"+a.ID, a.g.addr, "", nil) }, within: callWithin, done: done, stays: true})
+	a.g.start(&call{build: func() []byte { return request("DELETE", "/obj/"+a.ID, a.g.Addr, "", nil) }, within: callWithin, done: done, stays: true})
 }
 
 // finish is the one end of an attempt.
--- a/internal/rest/fleet.go
+++ b/internal/rest/fleet.go
@@ -8,6 +8,7 @@
 	"thymeway/choice"
 	"thymeway/internal/coordinator"
 	"thymeway/internal/deadline"
+	"thymeway/internal/directory"
 	"thymeway/internal/link"
 	"thymeway/internal/tally"
 )
@@ -42,9 +43,7 @@
 	ConnIdle       float64 // for which an unused connection is kept
 	MostWires      int     // connections to all worker groups
 
-	groups   map[string]*group
-	order    []*group          // in the order in which they were named
-	at       map[string]*group // by address
+	groups   directory.Directory[*group]
 	attempts map[key]*attempt
 	wires    int
 }
@@ -55,66 +54,17 @@
 }
 
 // Know takes an entry of the list.
-func (f *Fleet) Know(m coordinator.Member) { f.know(m.ID, m.Addr, m.Status == choice.Removed) }
-
-// know takes where a worker group is, or that it has gone.
-func (f *Fleet) know(id, addr string, gone bool) {
-	if f.groups == nil {
-		f.groups, f.at, f.attempts = map[string]*group{}, map[string]*group{}, map[key]*attempt{}
-	}
-	g := f.groups[id]
-	if g == nil {
-		if gone {
-			return
-		}
-		g = &group{f: f, id: id}
-		f.groups[id], f.order = g, append(f.order, g)
-	}
-	if addr != "" && addr != g.addr {
-		// Danger: a new worker group may have the address of one that has gone. It must get none of its
-		// connections and queries.
-		if o := f.at[addr]; o != nil {
-			o.addr = ""
-			o.leave()
-			for len(o.waiting) > 0 {
-				o.fail(o.waiting[0], link.Refused)
-			}
-		}
-		if f.at[g.addr] == g {
-			delete(f.at, g.addr)
-		}
-		g.leave()
-		g.addr, f.at[addr] = addr, g
-	}
-	if g.gone = gone; gone {
-		g.leave()
-		f.forget(g)
-	}
+func (f *Fleet) Know(m coordinator.Member) {
+	f.groups.Know(m.ID, m.Addr, m.Status == choice.Removed, func(p directory.Place) *group { return &group{f: f, Place: p} })
 }
 
 // Only takes a whole list: worker groups that it does not name have gone.
-func (f *Fleet) Only(named map[string]bool) {
-	for _, g := range append([]*group(nil), f.order...) {
-		if !named[g.id] && !g.gone {
-			f.know(g.id, "", true)
-		}
-	}
-}
+func (f *Fleet) Only(named map[string]bool) { f.groups.Only(named) }
 
 // forget drops a worker group that has gone, once nothing of it is left.
 func (f *Fleet) forget(g *group) {
-	if !g.gone || g.wires > 0 || g.attempts > 0 || len(g.waiting) > 0 || f.groups[g.id] != g {
-		return
-	}
-	f.Deadlines.Clear(&g.reopen)
-	delete(f.groups, g.id)
-	if f.at[g.addr] == g {
-		delete(f.at, g.addr)
-	}
-	for i, x := range f.order {
-		if x == g {
-			f.order = append(f.order[:i:i], f.order[i+1:]...)
-		}
+	if f.groups.Forget(g) {
+		f.Deadlines.Clear(&g.reopen)
 	}
 }
 
@@ -124,7 +74,7 @@
 		return true
 	}
 	var most *group
-	for _, g := range f.order {
+	for _, g := range f.groups.All() {
 		if most == nil || len(g.idle) > len(most.idle) {
 			most = g
 		}
@@ -141,7 +91,7 @@
 
 // serve opens connections for calls that wait where there was no room for one.
 func (f *Fleet) serve() {
-	for _, g := range f.order {
+	for _, g := range f.groups.All() {
 		g.dial()
 	}
 }
@@ -151,7 +101,8 @@
 
 // Send starts an attempt.
 func (f *Fleet) Send(s coordinator.Attempt) {
-	a := &attempt{Attempt: s, f: f, g: f.groups[s.Engine], sent: f.Now()}
+	g, _ := f.groups.Get(s.Engine)
+	a := &attempt{Attempt: s, f: f, g: g, sent: f.Now()}
 	a.begin()
 }
 
@@ -164,7 +115,8 @@
 
 // Probe asks a worker group for its report.
 func (f *Fleet) Probe(engine string) {
-	g, sent := f.groups[engine], f.Now()
+	g, _ := f.groups.Get(engine)
+	sent := f.Now()
 	tell := func(r *reply, e link.End) {
 		p := coordinator.Outcome{Engine: engine, End: e, Took: f.Now() - sent}
 		if r != nil {
@@ -175,11 +127,11 @@
 		}
 		f.Watcher.Probed(p)
 	}
-	if g == nil || g.addr == "" {
+	if g == nil || g.Addr == "" {
 		tell(nil, link.Unreached)
 		return
 	}
-	g.start(&call{build: func() []byte { return request("GET", "/busy", g.addr, "", nil) }, within: probeWithin, done: tell})
+	g.start(&call{build: func() []byte { return request("GET", "/busy", g.Addr, "", nil) }, within: probeWithin, done: tell})
 }
 
 // request makes the bytes of a call.
--- a/internal/rest/pool.go
+++ b/internal/rest/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"thymeway/internal/deadline"
+	"thymeway/internal/directory"
 	"thymeway/internal/link"
 )
 
@@ -17,10 +18,8 @@
 
 // group is a worker group's connections and the calls that wait for one.
 type group struct {
+	directory.Place
 	f        *Fleet
-	id       string
-	addr     string // empty once another worker group has it
-	gone     bool
 	idle     []*wire // the last used last
 	held     *wire   // whose answer is being taken
 	waiting  []*call // in the order in which they came
@@ -48,7 +47,7 @@
 // start writes a call to an idle connection, or waits for one that comes up or falls free.
 func (g *group) start(c *call) {
 	c.g = g
-	if g.addr == "" { // its process has ended: another one listens there
+	if g.Addr == "" { // its process has ended: another one listens there
 		c.done(nil, link.Refused)
 		return
 	}
@@ -88,7 +87,7 @@
 	g.dialing++
 	g.wires++
 	g.f.wires++
-	g.f.Dialer.Dial(g.addr, &wire{g: g, addr: g.addr})
+	g.f.Dialer.Dial(g.Addr, &wire{g: g, addr: g.Addr})
 }
 
 // fail ends a call that still waits for a connection.
@@ -111,7 +110,7 @@
 
 // dead tells, of a worker group that refuses a connection, whether its process has ended: then all are gone, or
 // another one listens there.
-func (g *group) dead() bool { return g.open == 0 || g.addr == "" }
+func (g *group) dead() bool { return g.open == 0 || g.Addr == "" }
 
 // forget takes a call from the line.
 func (g *group) forget(c *call) bool {
@@ -125,8 +124,18 @@
 	return false
 }
 
-// leave makes nothing of the group's be used any more: it has gone, or another one has its address.
-func (g *group) leave() {
+// Left tells whether nothing of the group's is open or out.
+func (g *group) Left() bool { return g.wires == 0 && g.attempts == 0 && len(g.waiting) == 0 }
+
+// Lose ends what waits: another one has the group's address.
+func (g *group) Lose() {
+	for len(g.waiting) > 0 {
+		g.fail(g.waiting[0], link.Refused)
+	}
+}
+
+// Leave makes nothing of the group's be used any more: it has gone, or another one has its address.
+func (g *group) Leave() {
 	for len(g.idle) > 0 {
 		w := g.idle[0]
 		w.unidle()
@@ -162,7 +171,7 @@
 // rest takes the next call after a pause, or waits for one.
 func (w *wire) rest(pause float64) {
 	g := w.g
-	if g.gone || w.addr != g.addr {
+	if g.Gone || w.addr != g.Addr {
 		w.close()
 		return
 	}
@@ -248,14 +257,14 @@
 func (w *wire) Received(b []byte) {
 	f := w.g.f
 	if w.call == nil {
-		f.Faults.Add("engine-unasked", "engine", w.g.id, "addr", w.addr, "bytes", len(b))
+		f.Faults.Add("engine-unasked", "engine", w.g.ID, "addr", w.addr, "bytes", len(b))
 		w.unidle()
 		w.close()
 		return
 	}
 	r, err := w.parser.take(b)
 	if err != nil {
-		f.Faults.Add("engine-garbled", "engine", w.g.id, "addr", w.addr, "bytes", len(b), "error", err)
+		f.Faults.Add("engine-garbled", "engine", w.g.ID, "addr", w.addr, "bytes", len(b), "error", err)
 		w.close()
 		w.end(link.Garbled)
 		return
@@ -315,7 +324,7 @@
 		g.f.Deadlines.Set(&g.reopen, g.f.Now()+refusedPause)
 	}
 	// The first in line stands for those that this connection was opened for.
-	if len(g.waiting) > g.dialing && w.addr == g.addr {
+	if len(g.waiting) > g.dialing && w.addr == g.Addr {
 		// One that was reset as it came up tells nothing of the worker group: another one is opened.
 		if g.broken++; e == link.Refused || e == link.Unreached || g.broken > mostBroken {
 			g.refuse(e)
