--- a/internal/chhttp/format.go
+++ b/internal/chhttp/format.go
@@ -307,6 +307,19 @@
 	return append(binary.AppendUvarint(dst, uint64(len(s))), s...)
 }
 
+// mark adds whether a value is NULL, where its column may hold that.
+func (t *typ) mark(dst []byte, c result.Cell) ([]byte, error) {
+	switch {
+	case c.Null && !t.nullable:
+		return dst, fmt.Errorf("NULL in a column of type %s", t.name)
+	case c.Null:
+		return append(dst, 1), nil
+	case t.nullable:
+		return append(dst, 0), nil
+	}
+	return dst, nil
+}
+
 // rowBinary writes RowBinary.
 func rowBinary(head int) func([]byte, *result.Set, options) ([]byte, error) {
 	return func(dst []byte, s *result.Set, _ options) ([]byte, error) {
@@ -324,18 +337,10 @@
 		}
 		err := s.Each(func(row []result.Cell) (err error) {
 			for i, c := range row {
-				t := &ts[i]
-				if c.Null && !t.nullable {
-					return fmt.Errorf("NULL in a column of type %s", t.name)
+				if dst, err = ts[i].mark(dst, c); err == nil && !c.Null {
+					dst, err = ts[i].binaryValue(dst, string(c.Text))
 				}
-				if t.nullable {
-					if c.Null {
-						dst = append(dst, 1)
-						continue
-					}
-					dst = append(dst, 0)
-				}
-				if dst, err = t.binaryValue(dst, string(c.Text)); err != nil {
+				if err != nil {
 					return err
 				}
 			}
@@ -362,17 +367,12 @@
 		rows++
 		for i, c := range row {
 			t := &ts[i]
-			if c.Null && !t.nullable {
-				return fmt.Errorf("NULL in a column of type %s", t.name)
-			}
-			if t.nullable {
-				if c.Null {
-					nulls[i], data[i] = append(nulls[i], 1), t.zero(data[i])
-					continue
-				}
-				nulls[i] = append(nulls[i], 0)
+			if nulls[i], err = t.mark(nulls[i], c); err != nil {
+				return err
 			}
-			if data[i], err = t.binaryValue(data[i], string(c.Text)); err != nil {
+			if c.Null {
+				data[i] = t.zero(data[i])
+			} else if data[i], err = t.binaryValue(data[i], string(c.Text)); err != nil {
 				return err
 			}
 		}
--- a/internal/chhttp/front_test.go
+++ b/internal/chhttp/front_test.go
@@ -3,11 +3,10 @@
 import (
 	"bytes"
 	"math/rand"
-	"os"
 	"strings"
 	"testing"
 
-	"thymeway/internal/config"
+	"thymeway/internal/conftest"
 	"thymeway/internal/coordinator"
 	"thymeway/internal/deadline"
 	"thymeway/internal/link"
@@ -44,14 +43,7 @@
 func (t *taker) Drop(r *coordinator.Request) { delete(t.open, r.ID) }
 
 func front(t testing.TB) (*Front, *taker, *float64) {
-	text, err := os.ReadFile("../../examples/config.json")
-	if err != nil {
-		t.Fatal(err)
-	}
-	c, err := config.Parse(text, "", "")
-	if err != nil {
-		t.Fatal(err)
-	}
+	c := conftest.Example(t)
 	now := 0.0
 	clock := func() float64 { return now }
 	k := &taker{shape.NewBook(shape.Options{Bytes: 1 << 16}), map[string]*coordinator.Request{}}
--- a/internal/chhttp/types.go
+++ b/internal/chhttp/types.go
@@ -45,6 +45,18 @@
 	enum     map[string]int64
 }
 
+// plainTypes are the types without anything in brackets.
+var plainTypes = map[string]struct {
+	kind  kind
+	bytes int
+}{
+	"UInt8": {kindUint, 1}, "UInt16": {kindUint, 2}, "UInt32": {kindUint, 4}, "UInt64": {kindUint, 8},
+	"Int8": {kindInt, 1}, "Int16": {kindInt, 2}, "Int32": {kindInt, 4}, "Int64": {kindInt, 8},
+	"Float32": {kindFloat, 4}, "Float64": {kindFloat, 8}, "Bool": {kindBool, 1}, "String": {kindString, 0},
+	"Date": {kindDate, 2}, "Date32": {kindDate32, 4}, "DateTime": {kindDateTime, 4}, "UUID": {kindUUID, 16},
+	"IPv4": {kindIPv4, 4}, "IPv6": {kindIPv6, 16},
+}
+
 // zones keeps what was read of time zones: each is a file of the system's.
 var zones = map[string]*time.Location{"": time.UTC, "UTC": time.UTC}
 
@@ -90,34 +102,9 @@
 	}
 	t := typ{name: s}
 	set := func(k kind, bytes int) typ { t.kind, t.bytes = k, bytes; return t }
-	switch s {
-	case "UInt8", "UInt16", "UInt32", "UInt64":
-		n, _ := strconv.Atoi(s[4:])
-		return set(kindUint, n/8)
-	case "Int8", "Int16", "Int32", "Int64":
-		n, _ := strconv.Atoi(s[3:])
-		return set(kindInt, n/8)
-	case "Float32":
-		return set(kindFloat, 4)
-	case "Float64":
-		return set(kindFloat, 8)
-	case "Bool":
-		return set(kindBool, 1)
-	case "String":
-		return set(kindString, 0)
-	case "Date":
-		return set(kindDate, 2)
-	case "Date32":
-		return set(kindDate32, 4)
-	case "DateTime":
+	if p, ok := plainTypes[s]; ok {
 		t.zone = time.UTC
-		return set(kindDateTime, 4)
-	case "UUID":
-		return set(kindUUID, 16)
-	case "IPv4":
-		return set(kindIPv4, 4)
-	case "IPv6":
-		return set(kindIPv6, 16)
+		return set(p.kind, p.bytes)
 	}
 	if in, ok := inside(s, "FixedString"); ok {
 		if n, err := strconv.Atoi(in); err == nil && n > 0 && n <= 1<<16 {
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -3,10 +3,9 @@
 import (
 	"encoding/binary"
 	"fmt"
-	"os"
 	"testing"
 
-	"thymeway/internal/config"
+	"thymeway/internal/conftest"
 	"thymeway/internal/deadline"
 	"thymeway/internal/link"
 )
@@ -30,11 +29,7 @@
 }
 
 func BenchmarkRequest(b *testing.B) {
-	conf, _ := os.ReadFile("../../examples/config.json")
-	c, err := config.Parse(conf, "", "")
-	if err != nil {
-		b.Fatal(err)
-	}
+	c := conftest.Example(b)
 	now := 1.7e12
 	q := deadline.New()
 	d := &dialq{}
--- a/internal/node/keep_test.go
+++ b/internal/node/keep_test.go
@@ -8,7 +8,7 @@
 	"strings"
 	"testing"
 
-	"thymeway/internal/config"
+	"thymeway/internal/conftest"
 	"thymeway/internal/deadline"
 	"thymeway/internal/logs"
 	"thymeway/internal/shape"
@@ -18,14 +18,7 @@
 // Shapes outlast a restart where a file is set. A torn, foreign or newer one is told with its reason, and the program
 // starts empty and replaces it.
 func TestShapesAreKept(t *testing.T) {
-	conf, err := os.ReadFile("../../examples/config.json")
-	if err != nil {
-		t.Fatal(err)
-	}
-	c, err := config.Parse(conf, "", "")
-	if err != nil {
-		t.Fatal(err)
-	}
+	c := conftest.Example(t)
 	c.Own.Shapes.File, c.Own.Shapes.Every = filepath.Join(t.TempDir(), "shapes"), 1000
 	var out bytes.Buffer
 	before := slog.Default()
--- a/internal/node/mixed_test.go
+++ b/internal/node/mixed_test.go
@@ -5,7 +5,6 @@
 	"encoding/binary"
 	"fmt"
 	"math/rand"
-	"os"
 	"regexp"
 	"slices"
 	"strconv"
@@ -13,7 +12,7 @@
 	"testing"
 
 	"thymeway/internal/account"
-	"thymeway/internal/config"
+	"thymeway/internal/conftest"
 	"thymeway/internal/deadline"
 	"thymeway/internal/link"
 )
@@ -223,16 +222,10 @@
 // play sends the same requests at the same times, each over the protocol that web chooses, and gives the answers, the
 // order of runs by key and the accounts over all protocols.
 func play(t *testing.T, seed int64, web func(i int) bool) (answers []string, order map[string][]string, sum map[string]account.Counts) {
-	conf, err := os.ReadFile("../../examples/config.json")
-	if err != nil {
-		t.Fatal(err)
-	}
-	c, err := config.Parse(conf, "", "")
-	if err != nil {
-		t.Fatal(err)
-	}
+	c := conftest.Example(t)
 	c.Own.CH.Listen = "127.0.0.1:8123"
 	w := &world{t: t, now: start, queue: deadline.New(), rand: rand.New(rand.NewSource(seed)), runs: map[string]*ran{}}
+	var err error
 	w.n, err = New(c, w, w.queue, func() float64 { return w.now }, func() { w.woken = true })
 	if err != nil {
 		t.Fatal(err)
