Decide classes of statements in a module of their own, out of the configuration

Cause: which class a statement without one has, and what a class's statements may do, was decided where the configuration is read.

--- a/internal/chhttp/request.go
+++ b/internal/chhttp/request.go
@@ -298,7 +298,7 @@
 		return except(codeReadonly, "Cannot execute query in readonly mode. For queries over HTTP, method GET implies readonly.")
 	}
 	if r.Class == "" {
-		class, ok := f.Config.ClassFor(r.Shape.Kind)
+		class, ok := f.Config.Classify().For(r.Shape.Kind)
 		if !ok {
 			return except(codeBadArguments, "no class for a statement that is %v", r.Shape.Kind)
 		}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -96,19 +96,19 @@
 	}
 }
 
-// A class's role follows its settings unless our own say otherwise.
-func TestRoles(t *testing.T) {
+// Roles of our own settings reach the rules, and memory for shapes follows the limit.
+func TestClassify(t *testing.T) {
 	c, err := Parse([]byte(example(t)), "", "")
 	if err != nil {
 		t.Fatal(err)
 	}
-	for class, want := range map[string]shape.Role{"lookup": shape.Reads, "report": shape.Reads, "load": shape.Writes, "other": shape.Any} {
-		if got := c.Role(class); got != want {
-			t.Errorf("%s: role %v, want %v", class, got, want)
-		}
+	if c.Own, err = ParseOwn([]byte("[class report]\nrole = any\n[clickhouse]\nread_class = report\n")); err != nil {
+		t.Fatal(err)
 	}
-	if c.Own, err = ParseOwn([]byte("[class report]\nrole = any\n")); err != nil || c.Role("report") != shape.Any {
-		t.Errorf("report: %v, %v", c.Role("report"), err)
+	if r := c.Classify(); r.Role("report") != shape.Any || r.Role("load") != shape.Writes {
+		t.Errorf("report %v, load %v", r.Role("report"), r.Role("load"))
+	} else if name, _ := r.For(shape.Read); name != "report" {
+		t.Errorf("reads are %s", name)
 	}
 	if c.ShapeBytes() != 4026531 {
 		t.Errorf("%d bytes for shapes", c.ShapeBytes())
--- a/internal/config/own.go
+++ b/internal/config/own.go
@@ -15,6 +15,7 @@
 	"gopkg.in/ini.v1"
 
 	"thymeway/choice"
+	"thymeway/internal/classify"
 	"thymeway/internal/shape"
 )
 
@@ -359,53 +360,9 @@
 	mostShapes  = 8 << 20
 )
 
-// Role is what the statements of a class may do, by our own settings or by the class's: what holds its table group
-// writes, what may be repeated at will reads, and of others nothing is said.
-func (c Config) Role(class string) shape.Role {
-	if r, ok := c.Own.Roles[class]; ok {
-		return r
-	}
-	return defaultRole(c.Choice.Classes, class)
-}
-
-func defaultRole(classes []choice.Class, name string) shape.Role {
-	for _, k := range classes {
-		switch {
-		case k.Name != name:
-		case k.Load:
-			return shape.Writes
-		case k.Effect == choice.Safe:
-			return shape.Reads
-		}
-	}
-	return shape.Any
-}
-
-// ClassFor is the class of a statement that comes without one: what our settings name, or what the classes' own settings
-// show. ok is false where there is none.
-func (c Config) ClassFor(k shape.Kind) (name string, ok bool) {
-	named := c.Own.CH.Read
-	switch k {
-	case shape.Aggregate:
-		named = c.Own.CH.Aggregate
-	case shape.Write, shape.Unknown:
-		named = c.Own.CH.Write
-	}
-	if named != "" {
-		return named, true
-	}
-	limit := 0.0
-	for _, x := range c.Choice.Classes {
-		switch {
-		case k == shape.Write || k == shape.Unknown:
-			if x.Load {
-				return x.Name, true
-			}
-		case x.Effect == choice.Safe && (!ok || (k == shape.Aggregate) == (x.Limit > limit)):
-			name, ok, limit = x.Name, true, x.Limit
-		}
-	}
-	return name, ok
+// Classify gives the rules by which statements and classes go together.
+func (c Config) Classify() classify.Rules {
+	return classify.Rules{Classes: c.Choice.Classes, Roles: c.Own.Roles, Read: c.Own.CH.Read, Aggregate: c.Own.CH.Aggregate, Write: c.Own.CH.Write}
 }
 
 // References tells which of our own settings name a class, tenant or kind that the platform's configuration has not.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -87,7 +87,7 @@
 	}
 	wires := fleet.MostWires
 	coord := coordinator.New(c.Choice, now, queue, engines, wake,
-		coordinator.Reading{Shapes: book, Role: c.Role, Estimates: c.Own.Shapes.Estimates, Faults: faults})
+		coordinator.Reading{Shapes: book, Role: c.Classify().Role, Estimates: c.Own.Shapes.Estimates, Faults: faults})
 	fleet.Watcher = coord
 	if ch != nil {
 		ch.Watcher, wires = coord, 2*wires
