Keep attempts past their limit out until their end is known, so keys keep their order

Followed by id through the log (new level debug): 15.682 event=ended id=.. engine=s- end=silent took=8001.9 16.275 event=send id=.. engine=s- and 1,667 DELETEs ended unreached: the worker group took no further connection, or was cut off.

At fault: rest.attempt.begin, whose budget ended the attempt as silent at once; attempt.revoke, which took the budget and 2 s for proof; news, which told a dropped query as an error, so the key did not rest; group.dead, which took our own closing of silent connections for the death of a process.

Change: at its limit an attempt is Overdue: the module answers the client at once, and the attempt keeps its place until its DELETE or the call under way tells its end, its process is dead, or it must have been dropped (twice the 2 s). A query that nobody could ask for that long ends then and not at its deadline. ClickHouse's side likewise.

--- a/choice/api.go
+++ b/choice/api.go
@@ -201,6 +201,13 @@
 	Level   float64
 }
 
+// Overdue says that the wait for an attempt is over and nobody knows yet whether it still runs. Its Outcome follows
+// once that is known. Where a wait that ends proves the end, as in the simulator, there is only the Outcome.
+type Overdue struct {
+	Request string
+	Attempt int
+}
+
 // Gone says that a request has ended without this front's answer.
 type Gone struct{ Request string }
 
@@ -228,6 +235,7 @@
 func (Request) event()    {}
 func (Outcome) event()    {}
 func (Note) event()       {}
+func (Overdue) event()    {}
 func (Gone) event()       {}
 func (Timer) event()      {}
 func (Probed) event()     {}
--- a/choice/attempts.go
+++ b/choice/attempts.go
@@ -20,15 +20,10 @@
 			f.outcome(ev)
 		case Note:
 			f.note(ev)
+		case Overdue: // the client has its answer now; the attempt keeps its place, also in its key's line
+			f.quit(f.requests[ev.Request], true)
 		case Gone:
-			if q := f.requests[ev.Request]; q != nil {
-				// Danger: clients that leave early would leave their work on the engines, where it serves no
-				// one.
-				for _, a := range q.out {
-					f.cancel(a)
-				}
-				f.end(q)
-			}
+			f.quit(f.requests[ev.Request], false)
 		case Timer:
 			if f.wakeAt <= now+1 { // danger: a clock rounded down must not leave us without a timer
 				f.wakeAt = math.Inf(1)
@@ -62,7 +57,10 @@
 	f.taken.add(f.now, 1)
 	f.tookAll++
 	c := f.class(r.Class)
-	q := &request{Request: r, c: c, effect: effect(r, c), arrived: f.now, probedAt: math.Inf(-1)}
+	q := &request{Request: r, c: c, effect: c.Effect, arrived: f.now, probedAt: math.Inf(-1)}
+	if r.Once { // whatever its class allows
+		q.effect = Unsafe
+	}
 	q.worth = c.Worth
 	if t := f.tenants[r.Tenant]; t != nil && t.Quota > 0 {
 		// Past its quota a tenant's requests are worth little. Which of them no front can tell alone: each is
@@ -117,14 +115,6 @@
 	return f.further.sum(f.now-w-f.checkEvery)+1 <= may
 }
 
-// effect is what a repeat of a request may do.
-func effect(r Request, c *class) Effect {
-	if r.Once {
-		return Unsafe
-	}
-	return c.Effect
-}
-
 // send is the one place that sends; every rule is checked here, whatever path led to it.
 func (f *Front) send(q *request, e *engine, t float64) bool {
 	switch {
@@ -276,6 +266,22 @@
 	f.end(q)
 }
 
+// quit calls off what is out of a request, and gives it up or, where it is owed nothing, ends it. Danger:
+// work that no client waits for any more would stay on the engines.
+func (f *Front) quit(q *request, owed bool) {
+	if q == nil || q.ended {
+		return
+	}
+	for _, a := range q.out {
+		f.cancel(a)
+	}
+	if owed {
+		f.giveUp(q)
+	} else {
+		f.end(q)
+	}
+}
+
 // leave gives all open requests up, in the order of their ids: equal events give equal actions.
 func (f *Front) leave() {
 	ids := make([]string, 0, len(f.requests))
@@ -284,12 +290,6 @@
 	}
 	sort.Strings(ids)
 	for _, id := range ids {
-		q := f.requests[id]
-		for _, a := range q.out {
-			f.cancel(a)
-		}
-		if !q.ended {
-			f.giveUp(q)
-		}
+		f.quit(f.requests[id], true)
 	}
 }
--- a/internal/chengine/fleet.go
+++ b/internal/chengine/fleet.go
@@ -139,13 +139,16 @@
 		switch {
 		case !a.written:
 			a.finish(link.Unreached)
-		case a.cancelled:
-			a.finish(link.GivenUp)
-		case a.lost:
-			a.finish(link.Lost)
-		default:
-			a.kill(nil)
-			a.finish(link.Silent)
+		case f.Now() >= a.Until+answerSlack: // the engine has ended it by itself
+			a.finish(a.end)
+		default: // danger: what the engine has not confirmed may still run
+			f.Watcher.Overdue(a.ID, a.Number)
+			if !a.cancelled {
+				a.revoke(link.Silent)
+			}
+			if !a.over {
+				f.Deadlines.Set(&a.budget, a.Until+answerSlack)
+			}
 		}
 	}
 	f.Deadlines.Set(&a.budget, a.Until)
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -10,6 +10,7 @@
 	"thymeway/internal/account"
 	"thymeway/internal/deadline"
 	"thymeway/internal/link"
+	"thymeway/internal/logs"
 	"thymeway/internal/result"
 	"thymeway/internal/shape"
 	"thymeway/internal/tally"
@@ -44,6 +45,7 @@
 // Watcher is told what becomes of attempts and probes, sometimes before the call that starts them returns.
 type Watcher interface {
 	Ended(Outcome)
+	Overdue(request string, attempt int) // the wait for it is over, and its end is not known yet: Ended still comes
 	Noted(request, engine string, attempt int, kind choice.NoteKind, level float64)
 	Probed(Outcome)
 }
@@ -226,6 +228,7 @@
 	}
 	c.requests[r.ID] = q
 	c.owed++
+	logs.Trace("taken", r.ID, "class", r.Class, "key", r.Key, "ms", r.Deadline-q.taken, "work", r.Work)
 	c.tell(r.Request)
 }
 
@@ -245,6 +248,7 @@
 	if q == nil || q.Request != r || q.ended {
 		return
 	}
+	logs.Trace("dropped", r.ID)
 	c.end(q, account.Dropped, 0)
 	c.tell(choice.Gone{Request: r.ID})
 }
@@ -299,6 +303,7 @@
 		return
 	}
 	q.out--
+	logs.Trace("ended", o.Request, "attempt", o.Attempt, "engine", o.Engine, "end", o.End, "took", o.Took, "answered", q.ended)
 	if o.End == link.Served {
 		c.read.Shapes.Learn(q.Shape, q.told, o.Work, o.Mem)
 	}
@@ -316,6 +321,14 @@
 		Took: o.Took, Ended: ended, Work: o.Work, Mem: o.Mem, Report: o.Report})
 }
 
+// Overdue takes word that the wait for an attempt is over while it may still run.
+func (c *Coordinator) Overdue(request string, attempt int) {
+	if c.requests[request] != nil {
+		logs.Trace("overdue", request, "attempt", attempt)
+		c.tell(choice.Overdue{Request: request, Attempt: attempt})
+	}
+}
+
 // Noted takes word on an attempt that is out.
 func (c *Coordinator) Noted(request, engine string, attempt int, kind choice.NoteKind, level float64) {
 	if q := c.requests[request]; q != nil {
@@ -357,14 +370,17 @@
 			q.grant = a.Grant
 		}
 	case choice.Cancel:
+		logs.Trace("cancel", a.Request, "attempt", a.Attempt)
 		c.engines.Cancel(a.Request, a.Attempt)
 	case choice.Refuse:
 		if q := c.requests[a.Request]; q != nil && !q.ended {
+			logs.Trace("refused", a.Request, "sends", q.sends)
 			c.end(q, account.Refused, 0)
 			q.Client.Refuse(a.ComeBack)
 		}
 	case choice.Fail:
 		if q := c.requests[a.Request]; q != nil && !q.ended {
+			logs.Trace("failed", a.Request, "sends", q.sends)
 			c.end(q, account.Failed, 0)
 			q.Client.Fail(q.why)
 		}
@@ -389,6 +405,7 @@
 	q.sends++
 	q.out++
 	q.count.Sends++
+	logs.Trace("send", a.Request, "attempt", n, "engine", a.Engine)
 	until := q.Deadline
 	if t := c.now() + a.Timeout; a.Timeout > 0 && t < until {
 		until = t
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -45,11 +45,11 @@
 		return choice.Rejected
 	case Over, Crowded:
 		return choice.Moot
-	case Failed, Lost, Broken: // danger: a reset says nothing of the process; taken for a restart, it would make it cold
+	case Failed, Broken: // danger: a reset says nothing of the process; taken for a restart, it would make it cold
 		return choice.Error
 	case Refused, Unreached:
 		return choice.ConnectFailed
-	case Silent:
+	case Silent, Lost: // danger: dropped a moment ago, or on its way to the engine still; an error would prove an end
 		return choice.Timeout
 	case GivenUp, Garbled, Idle, Stopped: // a query whose answers are spoilt is deleted
 		return choice.Cancelled
--- a/internal/rest/attempt.go
+++ b/internal/rest/attempt.go
@@ -10,6 +10,7 @@
 	"thymeway/internal/coordinator"
 	"thymeway/internal/deadline"
 	"thymeway/internal/link"
+	"thymeway/internal/logs"
 	"thymeway/internal/result"
 )
 
@@ -22,9 +23,11 @@
 	askedAt   float64 // when a call that keeps the query alive was last written; 0: none was
 	postedAt  float64
 	known     bool  // the worker group has shown that it has the query
+	lapsed    bool  // nobody had asked for so long that the worker group may have dropped it
 	broke     bool  // the connection of the POST ended without an answer
 	spoilt    int   // answers in a row that can't be used
 	call      *call // the call under way
+	control   *call // the DELETE
 	cancelled bool
 	over      bool
 	ended     coordinator.Outcome
@@ -47,15 +50,14 @@
 	a.f.attempts[key{a.ID, a.Number}] = a
 	a.g.attempts++
 	a.budget.Do = func() {
-		switch {
-		case a.askedAt == 0: // it was never written
+		if a.askedAt == 0 { // it was never written
 			a.finish(link.Unreached)
-		case a.cancelled: // the worker group has seen the same budget end
-			a.finish(link.GivenUp)
-		default:
-			a.delete(nil)
-			a.finish(link.Silent)
+			return
 		}
+		// Danger: a query does not end with its budget. One whose worker group is cut off, or takes no further
+		// connection for the DELETE, runs on: the client is answered now, the end is told once it is known.
+		a.f.Watcher.Overdue(a.ID, a.Number)
+		a.giveUp(link.Silent)
 	}
 	a.f.Deadlines.Set(&a.budget, a.Until)
 	a.start(a.post, pollWithin, a.posted)
@@ -74,6 +76,7 @@
 	}
 	a.askedAt = a.f.Now()
 	a.postedAt = a.askedAt
+	logs.Trace("post", a.ID, "engine", a.Engine, "addr", a.g.Addr, "left", left, "waited", a.askedAt-a.sent)
 	h := []string{"X-Hop-Id", a.ID, "X-Sort", a.Class, "X-Budget", strconv.Itoa(int(left))}
 	if a.Idem != "" {
 		h = append(h, "X-Replay-Key", a.Idem)
@@ -87,6 +90,7 @@
 
 func (a *attempt) get(page int) []byte {
 	if page == 0 {
+		a.lapsed = a.lapsed || a.f.Now() > a.askedAt+unasked-unaskedSlack
 		a.askedAt = a.f.Now()
 	}
 	return request("GET", "/obj/"+a.ID+"/"+strconv.Itoa(page), a.g.Addr, "", nil)
@@ -98,6 +102,7 @@
 	case r != nil:
 		a.news(r)
 	case a.askedAt > 0:
+		logs.Trace("post-broke", a.ID, "engine", a.Engine, "end", e)
 		a.broke = true
 		a.askIn(0)
 	case e == link.Refused || e == link.Crowded:
@@ -114,6 +119,8 @@
 			a.news(r)
 		case e == link.Refused && a.g.dead(): // its process has ended, and the query with it
 			a.finish(link.Died)
+		case a.f.Now() > a.dropped(): // nobody could ask for so long that the query is no more
+			a.finish(link.Silent)
 		case e == link.Unreached || e == link.Silent:
 			a.askIn(retryPause)
 		default:
@@ -151,7 +158,7 @@
 		a.finish(link.Full)
 	case r.status == 504 && r.noEffect:
 		a.finish(link.Over)
-	case r.status == 500 && a.broke && !a.known:
+	case r.status == 500 && (a.broke && !a.known || a.lapsed):
 		a.finish(link.Lost)
 	case r.status/100 == 5:
 		a.finish(link.Failed)
@@ -237,27 +244,42 @@
 // this one is known to be over: its DELETE is answered, its process is dead, or nobody has asked for it for so
 // long that the worker group has dropped it.
 func (a *attempt) cancel() {
+	if a.askedAt == 0 {
+		a.finish(link.GivenUp)
+		return
+	}
+	a.giveUp(link.GivenUp)
+}
+
+// giveUp has the query deleted; e is the end that the attempt comes to.
+func (a *attempt) giveUp(e link.End) {
 	if a.cancelled || a.over {
 		return
 	}
 	a.cancelled = true
 	a.f.Deadlines.Clear(&a.again)
-	if a.call != nil {
-		a.call.drop()
-	}
-	if a.askedAt == 0 {
-		a.finish(link.GivenUp)
-		return
+	if c := a.call; c != nil && !c.g.forget(c) {
+		c.done = func(r *reply, _ link.End) { // a call under way may still tell that the query has ended
+			// Danger: a DELETE on its way could overtake the next POST of the same query. It is waited for.
+			if r != nil && (r.status == 200 || r.status/100 == 5) && (a.control == nil || a.control.waits()) {
+				a.finish(e)
+			}
+		}
 	}
-	a.revoke(link.GivenUp)
+	a.revoke(e)
 }
 
+// dropped is when a worker group has dropped the query at the latest, as nobody asked for it. Danger: it may look only
+// once in that time; queries of worker groups that were cut off were seen to run for up to twice as long.
+func (a *attempt) dropped() float64 { return a.askedAt + 2*unasked + unaskedSlack }
+
 // revoke has the query deleted and ends the attempt once it is known to be over.
 func (a *attempt) revoke(e link.End) {
 	a.lapse.Do = func() { a.finish(e) }
-	a.f.Deadlines.Set(&a.lapse, math.Min(a.askedAt+unasked, a.Until)+unaskedSlack)
+	a.f.Deadlines.Set(&a.lapse, a.dropped())
 	a.again.Do = func() {
 		a.delete(func(r *reply, end link.End) {
+			logs.Trace("deleted", a.ID, "engine", a.Engine, "answered", r != nil, "end", end)
 			switch {
 			case a.over:
 			case r != nil && (r.status/100 == 2 || r.status/100 == 5) || end == link.Refused && a.g.dead(): // deleted, not known, or ended
@@ -276,10 +298,13 @@
 
 // delete tells the worker group that the query is given up.
 func (a *attempt) delete(done func(*reply, link.End)) {
-	if done == nil {
-		done = func(*reply, link.End) {}
+	c := &call{within: callWithin, stays: true, build: func() []byte { return request("DELETE", "/obj/"+a.ID, a.g.Addr, "", nil) }}
+	c.done = func(r *reply, e link.End) {
+		a.control = nil
+		done(r, e)
 	}
-	a.g.start(&call{build: func() []byte { return request("DELETE", "/obj/"+a.ID, a.g.Addr, "", nil) }, within: callWithin, done: done, stays: true})
+	a.control = c
+	a.g.start(c)
 }
 
 // finish is the one end of an attempt.
@@ -296,8 +321,10 @@
 	for _, t := range []*deadline.Entry{&a.budget, &a.again, &a.lapse} {
 		a.f.Deadlines.Clear(t)
 	}
-	if a.call != nil {
-		a.call.drop()
+	for _, c := range []*call{a.call, a.control} {
+		if c != nil {
+			c.drop()
+		}
 	}
 	a.ended.End = e
 	if e != link.Served {
--- a/internal/rest/pool.go
+++ b/internal/rest/pool.go
@@ -1,6 +1,8 @@
 package rest
 
 import (
+	"slices"
+
 	"thymeway/internal/deadline"
 	"thymeway/internal/directory"
 	"thymeway/internal/link"
@@ -28,6 +30,7 @@
 	wires    int            // connections, those on their way too
 	open     int            // of those the ones that are up
 	reopen   deadline.Entry // set after a refusal: no connection is asked for before
+	reset    bool           // since one last came up, a connection ended from the other side
 	broken   int            // connections in a row that were reset as they came up
 	attempts int
 }
@@ -108,9 +111,10 @@
 	}
 }
 
-// dead tells, of a worker group that refuses a connection, whether its process has ended: then all are gone, or
-// another one listens there.
-func (g *group) dead() bool { return g.open == 0 || g.Addr == "" }
+// dead tells, of a worker group that refuses a connection, whether its process has ended: then all that were up ended
+// from its side, or another one listens there. Danger: one that drains refuses too and runs its queries on; that we
+// have closed what said nothing proves nothing.
+func (g *group) dead() bool { return g.open == 0 && g.reset || g.Addr == "" }
 
 // forget takes a call from the line.
 func (g *group) forget(c *call) bool {
@@ -150,6 +154,9 @@
 	}
 }
 
+// waits tells whether a call still waits for a connection.
+func (c *call) waits() bool { return slices.Contains(c.g.waiting, c) }
+
 func (w *wire) write(c *call) {
 	f := w.g.f
 	b := c.build()
@@ -249,6 +256,7 @@
 func (w *wire) Opened(c link.Conn) {
 	w.g.dialing--
 	w.g.open++
+	w.g.reset = false
 	w.c = c
 	w.rest(0)
 }
@@ -311,6 +319,7 @@
 // Closed comes when the connection ends by itself, or did not come up.
 func (w *wire) Closed(e link.End) {
 	if w.c != nil {
+		w.g.reset = true
 		w.unidle()
 		w.gone()
 		w.end(e)
