Take the fleet's load from answers too, as engines out of memory look idle

From the logs of all coordinators: threads out 1,294 at 2 s, 2,832 at 8 s, 3,500 at 16 s on 960 cores; answers took 1.2, 2.4 and 5.0 times longer than alone; served a second 2,267, 2,104, 965.

At fault: shares in choice/room.go, which lets a front's part of the room grow by up to 1.6 while the mean reported load is low. Engines that page get nothing done and report 0.5. An engine's own test for crowding has a floor of one query a front, which 300 fronts together pass.

Change: the load that the part follows is at least 0.8 x (how many times longer than their own work alone answers of the last 3 s took) / 1.5. Only with many fronts; where the work is not told, as before.

TestCrowdedLooksIdle fails without the change in room.go.

--- a/choice/heard.go
+++ b/choice/heard.go
@@ -58,6 +58,9 @@
 	work := o.Took / a.scale * c.Threads
 	if o.Work > 0 {
 		work, base = o.Work, o.Work/c.Threads
+		fade := math.Exp((f.slow.at - f.now) / partSpan)
+		f.slow.n, f.slow.at = f.slow.n*fade+1, f.now
+		f.slow.v = f.slow.v*fade + math.Log(bound(o.Took/math.Max(base, leastCheck), clip))
 		if h := a.q.Work; h > 0.01 && h < 1e9 && !a.q.Learned {
 			c.hintRatio += (bound(o.Work/h, clip) - c.hintRatio) * learnWork
 		}
@@ -87,6 +90,16 @@
 	x.at = f.now
 }
 
+// slowed is how many times longer than alone on its engine a query took, on the geometric mean of this front's answers
+// of the last seconds; a few answers say little, and none says 1. 0: few fronts, each of which sees its engines itself.
+func (f *Front) slowed() float64 {
+	if !f.many {
+		return 0
+	}
+	fade := math.Exp((f.slow.at - f.now) / partSpan)
+	return math.Exp(f.slow.v * fade / (f.slow.n*fade + 1))
+}
+
 // note takes word on an attempt: it shows that the engine lives and where the attempt is heading.
 func (f *Front) note(n Note) {
 	q := f.requests[n.Request]
--- a/choice/news.go
+++ b/choice/news.go
@@ -36,10 +36,10 @@
 // abroad is a query that a peer sent to an engine.
 type abroad struct{ at, threads, long float64 }
 
-// tell passes news of an engine to the fronts that work with it, at a bounded part of the traffic.
+// tell passes news of an engine to the fronts that work with it, a full message for each request taken at most.
 func (f *Front) tell(e *engine, data []byte) {
 	n := len(f.ring)
-	if !f.s.CanTell || !f.many || !e.listed || f.meanLoad < quietLoad || f.tells >= tellShare*f.tookAll {
+	if !f.s.CanTell || !f.many || !e.listed || f.meanLoad < quietLoad || f.tells >= f.tookAll {
 		return
 	}
 	for i := 0; i < min(windowSize, n); i++ {
--- a/choice/room.go
+++ b/choice/room.go
@@ -96,8 +96,7 @@
 			out, mean = out+f.byRank[r], mean+f.meanOut[r]
 		}
 	}
-	part := f.part * f.grow
-	return mean <= part && out+q.c.Threads/2 <= math.Max(partBurst*part, q.c.Threads)
+	return mean <= f.part && out+q.c.Threads/2 <= math.Max(partBurst*f.part, q.c.Threads)
 }
 
 // shares finds this front's share of the traffic: the work that it is asked for against what the fleet has in
@@ -119,7 +118,8 @@
 		}
 	}
 	if f.meanAt > f.now-reportLife && sum > 0 {
-		f.meanLoad = sum / heard
+		// Danger: the cores of engines that run out of memory look idle. Their answers tell.
+		f.meanLoad = math.Max(sum/heard, fullLoad*f.slowed()/slowFull)
 		// Our part of the room grows while the fleet has room left, whoever leaves it, and shrinks again.
 		f.grow = math.Max(growLeast, math.Min(math.Pow(fullLoad/f.meanLoad, growPower), growMost))
 	}
@@ -129,7 +129,7 @@
 			f.share = math.Min(u, 1)
 		}
 	}
-	f.part = threadsACore * room * f.share
+	f.part = threadsACore * room * f.share * f.grow
 }
 
 // gives is what an engine adds to the fleet's room, in cores: one that failed twice would burden the others.
--- a/choice/scale_test.go
+++ b/choice/scale_test.go
@@ -437,3 +437,28 @@
 		t.Errorf("share of a front with even traffic: %v", f.share*f.fronts)
 	}
 }
+
+// Danger: engines that run out of memory get little done, and their cores look idle. Fronts that believe that send ever
+// more there, and none comes back from it: their answers, which take far longer than their work, have to count.
+func TestCrowdedLooksIdle(t *testing.T) {
+	s := base()
+	s.Pages, s.TellsCost = true, true
+	part := func(took float64) float64 {
+		fl := newFleet(s, 200, 20)
+		f := fl.fronts[0]
+		for step := 0; step < 60; step++ {
+			fl.now += 100
+			q := fl.request(0, step, "quick", "t")
+			q.Work = 100
+			for _, x := range sends(f.Step(fl.now, []Event{q})) {
+				f.Step(fl.now+50, []Event{Outcome{Request: x.Request, Engine: x.Engine, Result: OK, Took: took, Ended: true, Work: 100,
+					Report: Report{Busy: 0.5, HasBusy: true}}})
+			}
+		}
+		return f.part
+	}
+	idle, crowded := part(110), part(400)
+	if even := threadsACore * 20 * 8 / 200; idle < 1.2*even || crowded > 0.8*even {
+		t.Errorf("part of the room, where %v is even: %v with quick answers, %v with slow ones", even, idle, crowded)
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -48,6 +48,7 @@
 	ownMean, lot     float64   // our threads a core of the fleet; 1 where peers share the engines
 	meanLoad, meanAt float64   // mean of load reports, and when the last one came
 	sweepAt, wakeAt  float64
+	slow             factor // fading sums of answers and of the logarithm of how much slower they were than alone
 	earned           factor // fading sum of what answers earned
 	asked            bool
 	pace             float64 // by which short queries and deadlines scale the times below
--- a/choice/tuning.go
+++ b/choice/tuning.go
@@ -38,6 +38,7 @@
 	homeSlack    = 1.5     // engines that keep a table group warm, to those that its traffic needs
 	homePrior    = 20.0    // requests that must have come before they tell a table group's part
 	fullLoad     = 0.8     // mean reported load at which a front's part of the fleet's room stays as it is
+	slowFull     = 1.5     // times longer than alone that answers take under that load
 	openLoad     = 1.0     // load up to which it is open to all
 	closedLoad   = 1.4     // load of an engine from which it gets nothing more
 	growPower    = 2.0     // power of the load's distance from that by which it grows or shrinks
@@ -93,7 +94,6 @@
 	probeEvery  = 500.0  // ms between probes of an engine
 	probeShare  = 0.5    // probes a request taken, at most
 	probeFresh  = 300.0  // ms: an engine heard of this lately needs no probe
-	tellShare   = 1.0    // full messages to peers a request taken, at most
 	probeWait   = 15.0   // ms that a costly query waits for its probes
 	unknownAim  = 1000.0 // ms: aim of a class that the settings do not name
 	lastCall    = 120.0  // ms before its deadline by which an unsent request is answered
