Part a cold engine's budget over the fronts that work with it, half for light queries

Checked: the list (all ready by 13.7 s), failed connections (618 in those 5 s), the part of the room (grow at its least only while answers were slow). At fault: coldRoom, which cut the budget by all 312 fronts. Only those whose window of 8 on the ring of 80 holds the engine send there: of the 2.6 fronts on turn in a slot, 0.26 did. Light queries waited for the same turns, as an even part held no heavy one.

Change: the budget is parted over the fronts with a seat at the engine; half goes evenly to queries that fit, three tenths by turns to whole queries of the heaviest class (before, four tenths, all by turns). One heavier than its class's mean gets a turn of its own size, up to two fifths of the budget.

--- a/choice/heard.go
+++ b/choice/heard.go
@@ -151,3 +151,14 @@
 func (f *Front) first(front int) int {
 	return int(float64(front) * float64(len(f.ring)) / f.fronts)
 }
+
+// seat is this front's place among those whose windows hold an engine, and how many these are. Where windows have
+// moved on past engines that fail, and it is none of them, its place is past the last.
+func (f *Front) seat(e *engine) (place, fronts float64) {
+	n := len(f.ring)
+	if !f.many || n <= windowSize {
+		return float64(f.s.Front), f.fronts
+	}
+	first := float64(e.place-windowSize+1) * f.fronts / float64(n)
+	return math.Mod(math.Ceil(float64(f.s.Front)-first+f.fronts), f.fronts), math.Ceil(windowSize * f.fronts / float64(n))
+}
--- a/choice/room.go
+++ b/choice/room.go
@@ -154,25 +154,25 @@
 	return f.s.ColdFrom + (1-f.s.ColdFrom)*age
 }
 
-// coldRoom keeps a cold engine's budget in any window, by all fronts, well inside the rule's. Danger: a
-// front's part of it may fit no query. So in each slot of time as many fronts as it has whole queries may
-// send, by turns.
+// coldRoom keeps a cold engine's budget in any window, by all fronts that work with it, well inside the rule's.
+// Danger: a front's part of it may fit no query of a class, which would then never go there. So half of it goes
+// evenly to queries that fit; the other half to as many fronts in each slot of time as it has whole queries, by turns.
 func (f *Front) coldRoom(e *engine, q *request) bool {
 	share := f.coldShare(e)
 	if share >= 1 || f.s.FallMultiple <= 0 {
 		return true
 	}
+	seat, fronts := f.seat(e)
 	budget := f.s.FallMultiple * share * busyShare * e.cores * f.s.FallFor
-	part := budget * coldSafety / f.fronts
-	work, whole := math.Max(f.work(q), q.c.work), 0.0 // the mean work of the class that takes most
-	for _, c := range f.classList {
-		whole = math.Max(whole, c.work)
-	}
+	part := budget * coldSafety / fronts
+	work, whole := math.Max(f.work(q), q.c.work), f.heaviest()
 	if part < whole {
-		part = whole
-		slot, turns := uint64(f.now/f.s.FallFor), budget*turnSafety/whole // fronts on turn
-		if math.Mod(float64(f.s.Front)+f.fronts*hash01(e.hash, slot), f.fronts) >= turns || work > budget {
-			return false
+		if part /= 2; work > part {
+			part = math.Max(whole, work)
+			slot, turns := uint64(f.now/f.s.FallFor), budget*turnSafety/part // fronts on turn
+			if math.Mod(seat+fronts*hash01(e.hash, slot), fronts) >= turns || work > budget*coldSafety/2 {
+				return false
+			}
 		}
 	}
 	return e.coldSent.sum(f.now-1.2*f.s.FallFor)+work <= part
--- a/choice/state.go
+++ b/choice/state.go
@@ -360,6 +360,14 @@
 	return s / math.Max(n, 1e-9)
 }
 
+// heaviest is the mean work of the class that takes most.
+func (f *Front) heaviest() (work float64) {
+	for _, c := range f.classList {
+		work = math.Max(work, c.work)
+	}
+	return work
+}
+
 // meanDensity is worth per work over the queries seen.
 func (f *Front) meanDensity() float64 {
 	s, n := 0.0, 0.0
--- a/choice/tuning.go
+++ b/choice/tuning.go
@@ -82,7 +82,7 @@
 	moveWindow   = 5000.0  // ms, ... in this time: no retry storm
 	// Ours: sharing and refusals.
 	coldSafety  = 0.8    // share of a front's part of a cold engine's budget that is used
-	turnSafety  = 0.4    // share of it that is used where fronts take turns: a window may touch two slots
+	turnSafety  = 0.3    // share of it that goes by turns: a window may touch two slots
 	busyShare   = 0.85   // share of its cores that is an engine's capacity
 	quotaSlack  = 0.2    // share of its quota by which a tenant's traffic may be uneven over the fronts
 	quotaSpan   = 5000.0 // ms over which a tenant's traffic is compared with its quota
