--- a/choice/room.go
+++ b/choice/room.go
@@ -154,9 +154,9 @@
 	return f.s.ColdFrom + (1-f.s.ColdFrom)*age
 }
 
-// coldRoom keeps a cold engine's budget in any window, by all fronts that work with it, well inside the rule's.
-// Danger: a front's part of it may fit no query of a class, which would then never go there. So half of it goes
-// evenly to queries that fit; the rest by turns, in each slot of time to the fronts it has whole queries for.
+// coldRoom keeps a cold engine's budget in any window, by all fronts that use it, well inside the rule's.
+// Danger: a front's part of it may fit no query of a class, which would then never go there. So half of it
+// goes evenly to queries that fit; the rest by turns, in each slot to the fronts it has whole queries for.
 func (f *Front) coldRoom(e *engine, q *request) bool {
 	share := f.coldShare(e)
 	if share >= 1 || f.s.FallMultiple <= 0 {
