Serve 1,024 coordinators and servers in a test, with less work a turn and windows that cover all

Found: no cap on lists. With more engines than the fronts' windows of 8 hold (5 fronts and 300 engines, 20 and 1,024) some engines were never used: the window now grows so that each engine is in two at least; at 300 fronts and 80 engines it is as before. Means over all engines were renewed at each turn: now at each check, with many fronts.

TestWindowsCoverFleet fails with the window at 8.

--- a/choice/attempts.go
+++ b/choice/attempts.go
@@ -36,13 +36,15 @@
 			f.leave()
 		}
 	}
-	f.averages()
-	f.shares()
+	full := now >= f.sweepAt
+	if full || !f.many || f.s.ProbeReports { // danger: work over hundreds of engines at each turn
+		f.averages()
+		f.shares()
+	}
 	for r := range f.meanOut {
 		f.meanOut[r] += (f.byRank[r] - f.meanOut[r]) * (1 - math.Exp((f.meanOutAt-now)/partSpan))
 	}
 	f.meanOutAt = now
-	full := now >= f.sweepAt
 	if full {
 		f.sweepAt = now + f.checkEvery
 		f.sweep()
--- a/choice/heard.go
+++ b/choice/heard.go
@@ -156,9 +156,9 @@
 // moved on past engines that fail, and it is none of them, its place is past the last.
 func (f *Front) seat(e *engine) (place, fronts float64) {
 	n := len(f.ring)
-	if !f.many || n <= windowSize {
+	if !f.many || n <= f.reach {
 		return float64(f.s.Front), f.fronts
 	}
-	first := float64(e.place-windowSize+1) * f.fronts / float64(n)
-	return math.Mod(math.Ceil(float64(f.s.Front)-first+f.fronts), f.fronts), math.Ceil(windowSize * f.fronts / float64(n))
+	first := float64(e.place-f.reach+1) * f.fronts / float64(n)
+	return math.Mod(math.Floor(float64(f.s.Front)-first+f.fronts), f.fronts), math.Floor(float64(f.reach)*f.fronts/float64(n)) + 1
 }
--- a/choice/hold.go
+++ b/choice/hold.go
@@ -204,7 +204,7 @@
 		return f.engines
 	}
 	f.cands = f.cands[:0]
-	for i := 0; i < len(f.ring) && len(f.cands) < windowSize; i++ {
+	for i := 0; i < len(f.ring) && len(f.cands) < f.reach; i++ {
 		if e := f.ring[(f.first(f.s.Front)+i)%len(f.ring)]; e.fails < 2 {
 			f.cands = append(f.cands, e)
 		}
--- a/choice/room.go
+++ b/choice/room.go
@@ -105,14 +105,10 @@
 func (f *Front) shares() {
 	f.share = 1 / f.fronts
 	cores, room, heard, sum := 0.0, 0.0, 1e-9, 0.0
-	f.byRank = [ranks]float64{}
 	for _, e := range f.usable {
 		cores += e.cores
 		g := f.gives(e)
 		room += g
-		for _, a := range e.out {
-			f.byRank[a.rank] += a.q.c.Threads
-		}
 		if w := e.cores * math.Exp((e.reportAt-f.now)/reportLife); w > 0 {
 			heard, sum = heard+w, sum+w*e.report
 		}
--- a/choice/scale_test.go
+++ b/choice/scale_test.go
@@ -447,8 +447,12 @@
 	}
 }
 
-func BenchmarkStep64(b *testing.B)  { benchmarkStep(b, 64) }
-func BenchmarkStep256(b *testing.B) { benchmarkStep(b, 256) }
+// BenchmarkStep is a turn with a request and one with its answer, by the number of engines.
+func BenchmarkStep(b *testing.B) {
+	for _, engines := range []int{8, 80, 1024} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) { benchmarkStep(b, engines) })
+	}
+}
 
 // Danger: where each client has a front of its own, a few bring most of the traffic. An even part of the room would
 // turn theirs away from idle engines, while a front with little more than the even traffic keeps the even part.
@@ -508,3 +512,29 @@
 		t.Errorf("part of the room, where %v is even: %v with quick answers, %v with slow ones", even, idle, crowded)
 	}
 }
+
+// Danger: with more engines than a few fronts' windows hold, some would never be used.
+func TestWindowsCoverFleet(t *testing.T) {
+	for _, size := range [][2]int{{5, 300}, {20, 1024}, {300, 80}, {1024, 1024}, {1024, 3}} {
+		fl := newFleet(base(), size[0], size[1])
+		seen := map[string]int{}
+		for _, f := range fl.fronts {
+			c := f.candidates()
+			if len(c) > max(windowSize, 2*size[1]/size[0]+1) {
+				t.Fatalf("%v: a window of %d", size, len(c))
+			}
+			for _, e := range c {
+				seen[e.ID]++
+				place, fronts := f.seat(e)
+				if place < 0 || place >= fronts {
+					t.Fatalf("%v: seat %v of %v at an engine in the window", size, place, fronts)
+				}
+			}
+		}
+		for _, e := range fl.engines {
+			if seen[e.ID] == 0 {
+				t.Fatalf("%v: no front works with %s", size, e.ID)
+			}
+		}
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -45,6 +45,7 @@
 	listing          int       // counts the news of the engine list
 	usable, ring     []*engine // in the list's order, and in that of their hashes
 	window, cands    []*engine // those that this front works with first
+	reach            int       // how many engines a front works with
 	ownMean, lot     float64   // our threads a core of the fleet; 1 where peers share the engines
 	meanLoad, meanAt float64   // mean of load reports, and when the last one came
 	sweepAt, wakeAt  float64
@@ -295,6 +296,7 @@
 			}
 			e.threads -= q.c.Threads
 			f.threads -= q.c.Threads
+			f.byRank[a.rank] -= q.c.Threads
 			return a
 		}
 	}
@@ -460,6 +462,7 @@
 	for i, e := range f.ring {
 		e.place = i
 	}
+	f.reach = max(windowSize, int(math.Ceil(windowLeast*float64(len(f.ring))/f.fronts)))
 }
 
 func (e *engine) ill(c *class) ill {
--- a/choice/tuning.go
+++ b/choice/tuning.go
@@ -33,7 +33,8 @@
 	idleRoom     = 1.3     // ratio: how much more
 	lightLoad    = 0.55    // load under which an answer shows what a class takes on an engine not crowded
 	manyFronts   = 4.0     // fronts from which peers' sends, not our own, decide what an engine keeps warm
-	windowSize   = 8       // engines that a front works with, with many fronts
+	windowSize   = 8       // engines that a front works with, with many fronts: at least
+	windowLeast  = 2.0     // fronts that work with an engine at least, where windows do not cover all
 	reportLag    = 300.0   // ms by which a report is older than its coming
 	homeSlack    = 1.5     // engines that keep a table group warm, to those that its traffic needs
 	homePrior    = 20.0    // requests that must have come before they tell a table group's part
