Let dense queries pass a front's part that a few long ones fill

A front's part is 6 to 8 threads: two reports fill it on the mean, and partLeft let nothing else go. Ruled out: shares of busy fronts (the parts were used up), failed connections (6 in 100 requests at the most).

TestDensePassesFullPart fails with a ratio of 1. Only fronts in fleets are concerned.

--- a/choice/attempts.go
+++ b/choice/attempts.go
@@ -3,8 +3,9 @@
 // Attempts: taking requests, sending, sending again, giving up. Every rule is checked here.
 
 import (
+	"maps"
 	"math"
-	"sort"
+	"slices"
 )
 
 // Step takes what happened at one time and returns what to do.
@@ -286,12 +287,7 @@
 
 // leave gives all open requests up, in the order of their ids: equal events give equal actions.
 func (f *Front) leave() {
-	ids := make([]string, 0, len(f.requests))
-	for id := range f.requests {
-		ids = append(ids, id)
-	}
-	sort.Strings(ids)
-	for _, id := range ids {
+	for _, id := range slices.Sorted(maps.Keys(f.requests)) {
 		f.quit(f.requests[id], true)
 	}
 }
--- a/choice/room.go
+++ b/choice/room.go
@@ -96,6 +96,9 @@
 			out, mean = out+f.byRank[r], mean+f.meanOut[r]
 		}
 	}
+	if q.density > denser*f.meanDensity() { // danger: it would be late behind the few that fill the part
+		mean /= partDense
+	}
 	return mean <= f.part && out+q.c.Threads/2 <= math.Max(partBurst*f.part, q.c.Threads)
 }
 
--- a/choice/scale_test.go
+++ b/choice/scale_test.go
@@ -538,3 +538,31 @@
 		}
 	}
 }
+
+// Danger: a few long queries fill a front's part, and the many short ones, worth most for their work, would wait behind
+// them until they are late. They may pass a part that is full on the mean, but not without bound.
+func TestDensePassesFullPart(t *testing.T) {
+	fl := newFleet(base(), 200, 20)
+	f := fl.fronts[0]
+	ask := func(class string, over float64) bool {
+		q := &request{Request: fl.request(0, 0, class, "t"), c: f.classes[class], worth: f.classes[class].Worth, aimAt: fl.now + 400}
+		q.Work = 100 * f.classes[class].Threads * f.classes[class].Threads
+		q.density = q.worth / f.work(q)
+		f.meanOut = [ranks]float64{0, over * f.part}
+		return f.partLeft(q)
+	}
+	f.classes["wide"].n, f.classes["wide"].work = 100, 4000
+	for _, c := range []struct {
+		class string
+		over  float64
+		may   bool
+	}{{"quick", 1.2, true}, {"quick", 1.5, false}, {"wide", 0.9, true}} {
+		if got := ask(c.class, c.over); got != c.may {
+			t.Errorf("%s at %v times the part: %v", c.class, c.over, got)
+		}
+	}
+	q := &request{Request: fl.request(0, 0, "wide", "t"), c: f.classes["wide"], worth: 8, density: f.meanDensity()}
+	if f.meanOut = [ranks]float64{0, 1.2 * f.part}; f.partLeft(q) {
+		t.Error("a query no denser than the mean passes a part that is full")
+	}
+}
--- a/choice/tuning.go
+++ b/choice/tuning.go
@@ -48,6 +48,7 @@
 	unevenFrom   = 2.0     // times its even share from which a front's share follows what it is asked for
 	askSpan      = 10000.0 // ms over which a front's share of the traffic is measured
 	partSpan     = 3000.0  // ms over which a front's threads out count against its part of the room
+	partDense    = 1.3     // times its part that its mean may be for a query denser than the mean
 	partBurst    = 2.0     // times its part that it may have out at a moment
 	crowdedAt    = 1.7     // ratio of an engine's answers to light ones from which its room shrinks
 	crowdedLeast = 0.6     // share of the room that is left at least
