Read a process's memory in one place, and fail the fleet's test where it is not told

Seen on reading the change again: the test of 1,024 coordinators had its own reader of /proc, which gave 0 where it found no figure, and 0 passed the bound of 32 MB. At fault: rss in fleet_test.go. Now main.go's reader serves both, and 0 fails.

--- a/choice/scale_test.go
+++ b/choice/scale_test.go
@@ -101,7 +101,7 @@
 		}
 		n++
 	}
-	if len(log) < 3 {
+	if len(log) < 4 {
 		t.Fatalf("the cold engine got %d heavy queries in 6 s", len(log))
 	}
 	for i := range log {
--- a/cmd/thymeway/fleet_test.go
+++ b/cmd/thymeway/fleet_test.go
@@ -155,21 +155,6 @@
 	}
 }
 
-// rss is a process's resident memory in MB.
-func rss(t testing.TB, pid int) (mb float64) {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, line := range strings.Split(string(text), "\n") {
-		var kb float64
-		if _, err := fmt.Sscanf(line, "VmHWM: %f kB", &kb); err == nil {
-			return kb / 1024
-		}
-	}
-	return 0
-}
-
 // A fleet of 1,024 coordinators and 1,024 worker groups: the real program starts with it, within 32 MB and 256 descriptors,
 // serves, takes a whole list in one line of the board, moves to another board on SIGHUP, ends on SIGTERM and serves again
 // after SIGKILL.
@@ -201,10 +186,10 @@
 		y.mu.Lock()
 		used := len(y.served)
 		y.mu.Unlock()
-		if mb := rss(t, c.Process.Pid); mb > 32 {
-			t.Errorf("%d coordinators, %d worker groups: %.1f MB", size[0], size[1], mb)
+		if kb := memory(c.Process.Pid, "VmHWM"); kb == 0 || kb > 32<<10 {
+			t.Errorf("%d coordinators, %d worker groups: %d KB at most", size[0], size[1], kb)
 		} else {
-			t.Logf("%d coordinators, %d worker groups: %.1f MB at most, %d worker groups used", size[0], size[1], mb, used)
+			t.Logf("%d coordinators, %d worker groups: %d KB at most, %d worker groups used", size[0], size[1], kb, used)
 		}
 		_ = c.Process.Signal(syscall.SIGTERM)
 		if err := c.Wait(); err != nil {
--- a/cmd/thymeway/main.go
+++ b/cmd/thymeway/main.go
@@ -156,7 +156,7 @@
 	loop.Accept = n.Accept
 	loop.Turn = n.Coordinator.Turn
 	loop.Ready = func() {
-		slog.Info("ready", "name", c.Name, "listen", strings.Join(n.Listen(), ","), "classes", len(c.Choice.Classes), "rss_kb", resident())
+		slog.Info("ready", "name", c.Name, "listen", strings.Join(n.Listen(), ","), "classes", len(c.Choice.Classes), "rss_kb", memory(os.Getpid(), "VmRSS"))
 		n.Watch.Start()
 	}
 	go func() {
@@ -205,14 +205,14 @@
 	}
 }
 
-// resident is the program's resident memory in KB, 0 where the system does not tell.
-func resident() (kb int) {
-	text, err := os.ReadFile("/proc/self/status")
+// memory is a figure of a process's memory in KB, such as VmRSS, what is resident; 0 where the system does not tell.
+func memory(pid int, figure string) (kb int) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		return 0
 	}
 	for _, line := range strings.Split(string(text), "\n") {
-		if _, err := fmt.Sscanf(line, "VmRSS: %d kB", &kb); err == nil {
+		if _, err := fmt.Sscanf(line, figure+": %d kB", &kb); err == nil {
 			return kb
 		}
 	}
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -6,8 +6,8 @@
 	"thymeway/choice"
 )
 
-// What each end promises the module. Only the first group says that nothing ran; a reset is no restart, and what a worker group no longer knows may
-// have been dropped a moment ago.
+// What each end promises the module. Only the first group says that nothing ran; a reset is no restart, and what a worker
+// group no longer knows may have been dropped a moment ago.
 func TestResults(t *testing.T) {
 	for want, ends := range map[choice.Result][]End{
 		choice.Full: {Full}, choice.Moot: {Over, Crowded}, choice.ConnectFailed: {Refused, Unreached},
