--- a/choice/api.go
+++ b/choice/api.go
@@ -201,12 +201,9 @@
 	Level   float64
 }
 
-// Overdue says that the wait for an attempt is over and nobody knows yet whether it still runs. Its Outcome follows
+// Overdue says that a request's time is over and nobody knows yet whether its attempt still runs. The Outcome follows
 // once that is known. Where a wait that ends proves the end, as in the simulator, there is only the Outcome.
-type Overdue struct {
-	Request string
-	Attempt int
-}
+type Overdue struct{ Request string }
 
 // Gone says that a request has ended without this front's answer.
 type Gone struct{ Request string }
--- a/internal/chengine/fleet.go
+++ b/internal/chengine/fleet.go
@@ -142,7 +142,7 @@
 		case f.Now() >= a.Until+answerSlack: // the engine has ended it by itself
 			a.finish(a.end)
 		default: // danger: what the engine has not confirmed may still run
-			f.Watcher.Overdue(a.ID, a.Number)
+			f.Watcher.Overdue(a.ID)
 			if !a.cancelled {
 				a.revoke(link.Silent)
 			}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -45,7 +45,7 @@
 // Watcher is told what becomes of attempts and probes, sometimes before the call that starts them returns.
 type Watcher interface {
 	Ended(Outcome)
-	Overdue(request string, attempt int) // the wait for it is over, and its end is not known yet: Ended still comes
+	Overdue(request string) // the time of a request is over, and the end of its attempt is not known yet: Ended follows
 	Noted(request, engine string, attempt int, kind choice.NoteKind, level float64)
 	Probed(Outcome)
 }
@@ -321,11 +321,11 @@
 		Took: o.Took, Ended: ended, Work: o.Work, Mem: o.Mem, Report: o.Report})
 }
 
-// Overdue takes word that the wait for an attempt is over while it may still run.
-func (c *Coordinator) Overdue(request string, attempt int) {
+// Overdue takes word that a request's time is over while its attempt may still run.
+func (c *Coordinator) Overdue(request string) {
 	if c.requests[request] != nil {
-		logs.Trace("overdue", request, "attempt", attempt)
-		c.tell(choice.Overdue{Request: request, Attempt: attempt})
+		logs.Trace("overdue", request)
+		c.tell(choice.Overdue{Request: request})
 	}
 }
 
--- a/internal/rest/attempt.go
+++ b/internal/rest/attempt.go
@@ -56,7 +56,7 @@
 		}
 		// Danger: a query does not end with its budget. One whose worker group is cut off, or takes no further
 		// connection for the DELETE, runs on: the client is answered now, the end is told once it is known.
-		a.f.Watcher.Overdue(a.ID, a.Number)
+		a.f.Watcher.Overdue(a.ID)
 		a.giveUp(link.Silent)
 	}
 	a.f.Deadlines.Set(&a.budget, a.Until)
@@ -173,7 +173,7 @@
 	a.f.Faults.Add("engine-spoilt", "engine", a.Engine, "what", what, "status", r.status, "bytes", len(r.body))
 	a.g.spoil()
 	if a.spoilt++; a.spoilt > mostSpoilt {
-		a.revoke(link.Garbled)
+		a.giveUp(link.Garbled)
 		return
 	}
 	a.askIn(quickPause)
@@ -240,24 +240,18 @@
 	return true
 }
 
-// cancel gives the attempt up. Danger: a request may have one attempt out, so its next send has to wait until
-// this one is known to be over: its DELETE is answered, its process is dead, or nobody has asked for it for so
-// long that the worker group has dropped it.
-func (a *attempt) cancel() {
-	if a.askedAt == 0 {
-		a.finish(link.GivenUp)
-		return
-	}
-	a.giveUp(link.GivenUp)
-}
-
-// giveUp has the query deleted; e is the end that the attempt comes to.
+// giveUp has the query deleted; e is the end that the attempt comes to. Danger: a request may have one attempt out, so
+// its next send has to wait until this one is known to be over: its DELETE is answered, its process is dead, or nobody
+// has asked for it for so long that the worker group has dropped it.
 func (a *attempt) giveUp(e link.End) {
 	if a.cancelled || a.over {
 		return
 	}
 	a.cancelled = true
-	a.f.Deadlines.Clear(&a.again)
+	if a.askedAt == 0 { // it was never written
+		a.finish(e)
+		return
+	}
 	if c := a.call; c != nil && !c.g.forget(c) {
 		c.done = func(r *reply, _ link.End) { // a call under way may still tell that the query has ended
 			// Danger: a DELETE on its way could overtake the next POST of the same query. It is waited for.
@@ -266,15 +260,6 @@
 			}
 		}
 	}
-	a.revoke(e)
-}
-
-// dropped is when a worker group has dropped the query at the latest, as nobody asked for it. Danger: it may look only
-// once in that time; queries of worker groups that were cut off were seen to run for up to twice as long.
-func (a *attempt) dropped() float64 { return a.askedAt + 2*unasked + unaskedSlack }
-
-// revoke has the query deleted and ends the attempt once it is known to be over.
-func (a *attempt) revoke(e link.End) {
 	a.lapse.Do = func() { a.finish(e) }
 	a.f.Deadlines.Set(&a.lapse, a.dropped())
 	a.again.Do = func() {
@@ -289,6 +274,7 @@
 			}
 		})
 	}
+	a.f.Deadlines.Clear(&a.again)
 	if at := a.postedAt + sendApart; at > a.f.Now() {
 		a.f.Deadlines.Set(&a.again, at)
 		return
@@ -296,6 +282,10 @@
 	a.again.Do()
 }
 
+// dropped is when a worker group has dropped the query at the latest, as nobody asked for it. Danger: it may look only
+// once in that time; queries of worker groups that were cut off were seen to run for up to twice as long.
+func (a *attempt) dropped() float64 { return a.askedAt + 2*unasked + unaskedSlack }
+
 // delete tells the worker group that the query is given up.
 func (a *attempt) delete(done func(*reply, link.End)) {
 	c := &call{within: callWithin, stays: true, build: func() []byte { return request("DELETE", "/obj/"+a.ID, a.g.Addr, "", nil) }}
--- a/internal/rest/fleet.go
+++ b/internal/rest/fleet.go
@@ -109,7 +109,7 @@
 // Cancel gives an attempt up. Its end comes once it can't be out any more.
 func (f *Fleet) Cancel(id string, n int) {
 	if a := f.attempts[key{id, n}]; a != nil {
-		a.cancel()
+		a.giveUp(link.GivenUp)
 	}
 }
 
