--- a/choice/attempts.go
+++ b/choice/attempts.go
@@ -8,53 +8,6 @@
 	"slices"
 )
 
-// Step takes what happened at one time and returns what to do.
-func (f *Front) Step(now float64, events []Event) []Action {
-	f.now, f.acts = now, nil
-	for _, ev := range events {
-		switch ev := ev.(type) {
-		case EngineList:
-			f.list(ev)
-		case Request:
-			f.take(ev)
-		case Outcome:
-			f.outcome(ev)
-		case Note:
-			f.note(ev)
-		case Overdue: // the client has its answer now; the attempt keeps its place, also in its key's line
-			f.quit(f.requests[ev.Request], true)
-		case Gone:
-			f.quit(f.requests[ev.Request], false)
-		case Timer:
-			if f.wakeAt <= now+1 { // danger: a clock rounded down must not leave us without a timer
-				f.wakeAt = math.Inf(1)
-			}
-		case Probed:
-			f.probed(ev)
-		case Told:
-			f.told(ev)
-		case Leaving:
-			f.leave()
-		}
-	}
-	full := now >= f.sweepAt
-	if full || !f.many || f.s.ProbeReports { // danger: work over hundreds of engines at each turn
-		f.averages()
-		f.shares()
-	}
-	for r := range f.meanOut {
-		f.meanOut[r] += (f.byRank[r] - f.meanOut[r]) * (1 - math.Exp((f.meanOutAt-now)/partSpan))
-	}
-	f.meanOutAt = now
-	if full {
-		f.sweepAt = now + f.checkEvery
-		f.sweep()
-	}
-	f.dispatch(full)
-	f.wake(f.sweepAt)
-	return f.acts
-}
-
 // take accepts a request.
 func (f *Front) take(r Request) {
 	f.taken.add(f.now, 1)
@@ -68,17 +21,16 @@
 	if t := f.tenants[r.Tenant]; t != nil && t.Quota > 0 {
 		// Past its quota a tenant's requests are worth little. Which of them no front can tell alone: each is
 		// worth their mean. Danger: a front among many sees few of a tenant; some more are chance, no burst.
-		t.tokens = t.tokens*math.Exp((t.at-f.now)/quotaSpan) + 1
-		t.at = f.now
+		t.tokens.add(f.now, 1, quotaSpan)
 		quota := t.Quota / 1000 / f.fronts * quotaSpan
-		within := (quota + math.Max(quotaChance, quotaSlack*quota)) / t.tokens
+		within := (quota + math.Max(quotaChance, quotaSlack*quota)) / t.tokens.v
 		if within < 1 {
 			q.worth *= within + (1-within)*f.s.OverWorth
 			q.over = within < quotaFar
 		}
 	}
 	f.count(r.Tables, c.Load)
-	f.asking, f.askingAt = f.asking*math.Exp((f.askingAt-f.now)/askSpan)+c.work, f.now
+	f.asking.add(f.now, c.work, askSpan)
 	f.requests[r.ID] = q
 	if c.InOrder && r.Key != "" {
 		k := f.keys[r.Key]
@@ -177,7 +129,7 @@
 		if f.now > q.aimAt {
 			v *= c.LateWorth
 		}
-		f.earned.v, f.earned.at = f.earned.v*math.Exp((f.earned.at-f.now)/earnSpan)+v, f.now
+		f.earned.add(f.now, v, earnSpan)
 		if !a.spilt {
 			c.grant = math.Max(c.grant*grantDown, 1/clip)
 		}
--- a/choice/heard.go
+++ b/choice/heard.go
@@ -58,9 +58,8 @@
 	work := o.Took / a.scale * c.Threads
 	if o.Work > 0 {
 		work, base = o.Work, o.Work/c.Threads
-		fade := math.Exp((f.slow.at - f.now) / partSpan)
-		f.slow.n, f.slow.at = f.slow.n*fade+1, f.now
-		f.slow.v = f.slow.v*fade + math.Log(bound(o.Took/math.Max(base, leastCheck), clip))
+		f.slower.add(f.now, math.Log(bound(o.Took/math.Max(base, slowLeast), clip)), partSpan)
+		f.answers.add(f.now, 1, partSpan)
 		if h := a.q.Work; h > 0.01 && h < 1e9 && !a.q.Learned {
 			c.hintRatio += (bound(o.Work/h, clip) - c.hintRatio) * learnWork
 		}
@@ -90,16 +89,6 @@
 	x.at = f.now
 }
 
-// slowed is how many times longer than alone on its engine a query took, on the geometric mean of this front's answers
-// of the last seconds; a few answers say little, and none says 1. 0: few fronts, each of which sees its engines itself.
-func (f *Front) slowed() float64 {
-	if !f.many {
-		return 0
-	}
-	fade := math.Exp((f.slow.at - f.now) / partSpan)
-	return math.Exp(f.slow.v * fade / (f.slow.n*fade + 1))
-}
-
 // note takes word on an attempt: it shows that the engine lives and where the attempt is heading.
 func (f *Front) note(n Note) {
 	q := f.requests[n.Request]
@@ -146,19 +135,3 @@
 	}
 	return f.addClass(Class{Name: name, Worth: 1, Aim: unknownAim, Effect: Unsafe})
 }
-
-// first is the place in the ring at which a front's window begins.
-func (f *Front) first(front int) int {
-	return int(float64(front) * float64(len(f.ring)) / f.fronts)
-}
-
-// seat is this front's place among those whose windows hold an engine, and how many these are. Where windows have
-// moved on past engines that fail, and it is none of them, its place is past the last.
-func (f *Front) seat(e *engine) (place, fronts float64) {
-	n := len(f.ring)
-	if !f.many || n <= f.reach {
-		return float64(f.s.Front), f.fronts
-	}
-	first := float64(e.place-f.reach+1) * f.fronts / float64(n)
-	return math.Mod(math.Floor(float64(f.s.Front)-first+f.fronts), f.fronts), math.Floor(float64(f.reach)*f.fronts/float64(n)) + 1
-}
--- a/choice/hold.go
+++ b/choice/hold.go
@@ -18,11 +18,6 @@
 	q.density, q.late = q.worth/f.work(q), false
 	q.aimAt = math.Min(q.arrived+q.c.Aim+q.c.AimStretch*f.work(q)/q.c.Threads, q.Deadline)
 	q.held = -1
-	f.insert(q)
-}
-
-// insert puts a request into the waiting line: densest first, then by aim.
-func (f *Front) insert(q *request) {
 	i := sort.Search(len(f.waiting), func(i int) bool {
 		w := f.waiting[i]
 		if w.density != q.density {
@@ -30,9 +25,7 @@
 		}
 		return w.aimAt > q.aimAt
 	})
-	f.waiting = append(f.waiting, nil)
-	copy(f.waiting[i+1:], f.waiting[i:])
-	f.waiting[i] = q
+	f.waiting = slices.Insert(f.waiting, i, q)
 	q.waiting = true
 }
 
@@ -204,10 +197,32 @@
 		return f.engines
 	}
 	f.cands = f.cands[:0]
-	for i := 0; i < len(f.ring) && len(f.cands) < f.reach; i++ {
+	for i := 0; i < len(f.ring) && len(f.cands) < f.reach(); i++ {
 		if e := f.ring[(f.first(f.s.Front)+i)%len(f.ring)]; e.fails < 2 {
 			f.cands = append(f.cands, e)
 		}
 	}
 	return f.cands
 }
+
+// reach is how many engines a front works with, with many fronts: so many that each engine is in a window.
+func (f *Front) reach() int {
+	return max(windowSize, int(math.Ceil(windowLeast*float64(len(f.ring))/f.fronts)))
+}
+
+// first is the place in the ring at which a front's window begins.
+func (f *Front) first(front int) int {
+	return int(float64(front) * float64(len(f.ring)) / f.fronts)
+}
+
+// seat is this front's place among those whose windows hold an engine, and how many these are. Where its
+// window has only moved on there, past engines that fail, its place is past the last.
+func (f *Front) seat(e *engine) (place, fronts float64) {
+	n, reach := float64(len(f.ring)), float64(f.reach())
+	if !f.many || n <= reach {
+		return float64(f.s.Front), f.fronts
+	}
+	first := (float64(e.place) - reach + 1) * f.fronts / n
+	place = math.Mod(math.Floor(float64(f.s.Front)-first+f.fronts), f.fronts)
+	return place, math.Floor(reach*f.fronts/n) + 1
+}
--- a/choice/news.go
+++ b/choice/news.go
@@ -42,7 +42,7 @@
 	if !f.s.CanTell || !f.many || !e.listed || f.meanLoad < quietLoad || f.tells >= f.tookAll {
 		return
 	}
-	for i := 0; i < min(f.reach, n); i++ {
+	for i := 0; i < min(f.reach(), n); i++ {
 		start := (e.place - i + n) % n
 		j := int(math.Ceil(float64(start) * f.fronts / float64(n)))
 		for ; j < f.s.Fronts && f.first(j) == start; j++ {
--- a/choice/predict.go
+++ b/choice/predict.go
@@ -131,3 +131,9 @@
 func (f *Front) regain(c *class) float64 {
 	return regainFirst + (c.regain-regainFirst)*math.Exp((c.regainAt-f.now)/regainForget)
 }
+
+// slowed is how many times longer than alone on its engine a query took, on the geometric mean of the answers
+// of the last seconds; a few say little, and none says 1.
+func (f *Front) slowed() float64 {
+	return math.Exp(f.slower.get(f.now, partSpan) / (f.answers.get(f.now, partSpan) + 1))
+}
--- a/choice/room.go
+++ b/choice/room.go
@@ -12,7 +12,7 @@
 // earns tells whether a request is worth its place for so long; where not, others would earn more in it.
 // It is asked only where places are scarce.
 func (f *Front) earns(q *request, span float64) bool {
-	v, rate := q.worth, f.earned.v*math.Exp((f.earned.at-f.now)/earnSpan)/earnSpan
+	v, rate := q.worth, f.earned.get(f.now, earnSpan)/earnSpan
 	if f.now+span > q.aimAt {
 		v *= q.c.LateWorth
 	}
@@ -117,13 +117,17 @@
 		}
 	}
 	if f.meanAt > f.now-reportLife && sum > 0 {
-		// Danger: the cores of engines that run out of memory look idle. Their answers tell.
-		f.meanLoad = math.Max(sum/heard, fullLoad*f.slowed()/slowFull)
+		f.meanLoad = sum / heard
+		// Danger: the cores of engines that run out of memory look idle; their answers tell. Few fronts see
+		// their engines well enough, and would turn away what these can still take.
+		if f.many {
+			f.meanLoad = math.Max(f.meanLoad, fullLoad*f.slowed()/slowFull)
+		}
 		// Our part of the room grows while the fleet has room left, whoever leaves it, and shrinks again.
 		f.grow = math.Max(growLeast, math.Min(math.Pow(fullLoad/f.meanLoad, growPower), growMost))
 	}
 	if f.many && f.meanAt > f.now-reportLife {
-		u := f.asking * math.Exp((f.askingAt-f.now)/askSpan) / askSpan
+		u := f.asking.get(f.now, askSpan) / askSpan
 		if u /= math.Max(f.meanLoad*cores*threadsBusy, 1); u > unevenFrom*f.share { // less may be chance
 			f.share = math.Min(u, 1)
 		}
@@ -162,6 +166,9 @@
 		return true
 	}
 	seat, fronts := f.seat(e)
+	if seat >= fronts { // nobody counts with it there
+		return false
+	}
 	budget := f.s.FallMultiple * share * busyShare * e.cores * f.s.FallFor
 	part := budget * coldSafety / fronts
 	work, whole := math.Max(f.work(q), q.c.work), f.heaviest()
--- a/choice/state.go
+++ b/choice/state.go
@@ -35,22 +35,21 @@
 	threads          float64 // of all attempts out
 	part             float64 // our part of the threads for which the listed engines have room
 	share            float64 // of the traffic that comes to this front
-	asking, askingAt float64 // fading sum of the work asked for
+	asking           fading  // the work asked for
 	grow             float64 // by how much that part has grown
 	many             bool
 	byRank, meanOut  [ranks]float64 // threads out by priority, and their mean over time
 	meanOutAt        float64
 	groups           map[string]*group
-	groupSum         factor    // fading count of requests
+	groupSum         fading    // requests
 	listing          int       // counts the news of the engine list
 	usable, ring     []*engine // in the list's order, and in that of their hashes
 	window, cands    []*engine // those that this front works with first
-	reach            int       // how many engines a front works with
 	ownMean, lot     float64   // our threads a core of the fleet; 1 where peers share the engines
 	meanLoad, meanAt float64   // mean of load reports, and when the last one came
 	sweepAt, wakeAt  float64
-	slow             factor // fading sums of answers and of the logarithm of how much slower they were than alone
-	earned           factor // fading sum of what answers earned
+	slower, answers  fading // of answers: logarithms of how much slower they were than alone, and their number
+	earned           fading // what answers earned
 	asked            bool
 	pace             float64 // by which short queries and deadlines scale the times below
 	checkEvery       float64
@@ -92,6 +91,13 @@
 
 type factor struct{ v, n, at float64 }
 
+// fading is a sum whose parts fade as they age.
+type fading struct{ v, at float64 }
+
+func (s *fading) add(now, v, span float64) { s.v, s.at = s.get(now, span)+v, now }
+
+func (s fading) get(now, span float64) float64 { return s.v * math.Exp((s.at-now)/span) }
+
 type class struct {
 	Class
 	work, n, hintRatio float64
@@ -103,7 +109,7 @@
 
 type tenant struct {
 	Tenant
-	tokens, at float64
+	tokens fading
 }
 
 type key struct {
@@ -220,7 +226,7 @@
 		f.addClass(c)
 	}
 	for _, t := range s.Tenants {
-		f.tenants[t.Name] = &tenant{Tenant: t, at: now}
+		f.tenants[t.Name] = &tenant{Tenant: t, tokens: fading{at: now}}
 	}
 	return f
 }
@@ -433,8 +439,7 @@
 		g.loads++
 	}
 	g.at = f.now
-	f.groupSum.v = f.groupSum.v*math.Exp((f.groupSum.at-f.now)/warmFor) + 1
-	f.groupSum.at = f.now
+	f.groupSum.add(f.now, 1, warmFor)
 }
 
 // byHash puts engines in the order of their hashes with a table group.
@@ -462,7 +467,6 @@
 	for i, e := range f.ring {
 		e.place = i
 	}
-	f.reach = max(windowSize, int(math.Ceil(windowLeast*float64(len(f.ring))/f.fronts)))
 }
 
 func (e *engine) ill(c *class) ill {
--- a/choice/tuning.go
+++ b/choice/tuning.go
@@ -40,6 +40,7 @@
 	homePrior    = 20.0    // requests that must have come before they tell a table group's part
 	fullLoad     = 0.8     // mean reported load at which a front's part of the fleet's room stays as it is
 	slowFull     = 1.5     // times longer than alone that answers take under that load
+	slowLeast    = 10.0    // ms that a query takes alone, under which the way there counts for more
 	openLoad     = 1.0     // load up to which it is open to all
 	closedLoad   = 1.4     // load of an engine from which it gets nothing more
 	growPower    = 2.0     // power of the load's distance from that by which it grows or shrinks
