Prove each attempt's end: keep silent connections, and believe no word from before the POST

The zone was cut off from about 7.0 to 13.4 s: the calls written into the cut came as it ended. attempt.ask ended it by dropped(), 4.35 s after the last call was written; closing the connection does not take back what was written.

Now rest/proof.go says what proves an end, and only that ends an attempt: connections that fall silent under a call that keeps a query alive stay open until they answer or end; a 500 or 204 counts only if its call was written after the POST was known to have come or never to come; a refusal is no death; behind a broken connection a 500 rests the key. Overdue attempts take no room in the module.

--- a/choice/state.go
+++ b/choice/state.go
@@ -5,6 +5,7 @@
 import (
 	"math"
 	"math/rand"
+	"slices"
 	"sort"
 )
 
@@ -293,22 +294,37 @@
 	for i, a := range q.out {
 		if a.n == n {
 			q.out = append(q.out[:i:i], q.out[i+1:]...)
-			e := a.e
-			for j, b := range e.out {
-				if b == a {
-					e.out = append(e.out[:j:j], e.out[j+1:]...)
-					break
-				}
-			}
-			e.threads -= q.c.Threads
-			f.threads -= q.c.Threads
-			f.byRank[a.rank] -= q.c.Threads
+			f.release(a)
 			return a
 		}
 	}
 	return nil
 }
 
+// release takes an attempt off its engine and out of what this front has out.
+func (f *Front) release(a *attempt) {
+	e := a.e
+	j := slices.Index(e.out, a)
+	if j < 0 {
+		return
+	}
+	e.out = append(e.out[:j:j], e.out[j+1:]...)
+	e.threads -= a.q.c.Threads
+	f.threads -= a.q.c.Threads
+	f.byRank[a.rank] -= a.q.c.Threads
+}
+
+// overdue takes word that a request's time is over while its attempts may still run. Danger: where their engine is
+// silent their end may take long to be known: they keep their places in the key's line, but take no room.
+func (f *Front) overdue(q *request) {
+	f.quit(q, true)
+	if q != nil {
+		for _, a := range q.out {
+			f.release(a)
+		}
+	}
+}
+
 // end marks a request as ended and forgets it once nothing of it is out.
 func (f *Front) end(q *request) {
 	q.ended = true
--- a/choice/step.go
+++ b/choice/step.go
@@ -15,8 +15,8 @@
 			f.outcome(ev)
 		case Note:
 			f.note(ev)
-		case Overdue: // the client has its answer now; the attempt keeps its place, also in its key's line
-			f.quit(f.requests[ev.Request], true)
+		case Overdue: // the client has its answer now; the attempt keeps its place in its key's line
+			f.overdue(f.requests[ev.Request])
 		case Gone:
 			f.quit(f.requests[ev.Request], false)
 		case Timer:
--- a/internal/chhttp/front_test.go
+++ b/internal/chhttp/front_test.go
@@ -26,6 +26,8 @@
 func (s *sink) Close()         { s.closed = true }
 func (s *sink) Pending() int   { return 0 }
 func (s *sink) Quiet() bool    { return true }
+func (s *sink) Shut()          {}
+func (s *sink) Abort()         { s.Close() }
 
 // taker takes requests and keeps them open.
 type taker struct {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -61,6 +61,8 @@
 type Conn interface {
 	Write(b []byte)
 	Close()
+	Shut()        // ends our side only, behind what was written: the other side's end tells that it has read all
+	Abort()       // closes at once, and drops what the system has not sent yet
 	Pending() int // bytes that the system has not taken yet
 	Quiet() bool  // open on both sides, and nothing has come that Received was not given
 }
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -285,6 +285,21 @@
 	c.l.put(func() { _ = c.g.EventLoop().Close(c.g) })
 }
 
+// Shut ends our side only. Where bytes still wait for the system it is left to Close.
+func (c *conn) Shut() {
+	if !c.closed && c.g.OutboundBuffered() == 0 {
+		_ = unix.Shutdown(c.g.Fd(), unix.SHUT_WR)
+	}
+}
+
+// Abort closes with a reset: the system drops what the other side has not taken.
+func (c *conn) Abort() {
+	if !c.closed {
+		_ = c.g.SetLinger(0)
+		c.Close()
+	}
+}
+
 func (c *conn) Pending() int {
 	if c.closed {
 		return 0
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -19,6 +19,8 @@
 func (q *quiet) Close()         {}
 func (q *quiet) Pending() int   { return 0 }
 func (q *quiet) Quiet() bool    { return true }
+func (q *quiet) Shut()          {}
+func (q *quiet) Abort()         { q.Close() }
 
 type dialq struct{ all []*quiet }
 
--- a/internal/node/mixed_test.go
+++ b/internal/node/mixed_test.go
@@ -29,6 +29,7 @@
 	runs  map[string]*ran // by the id that worker groups get
 	order []*ran
 	broke []string // what the rules' checker found
+	until float64  // when the play ends; 0: once nothing is to happen any more
 }
 
 type event struct {
@@ -54,6 +55,7 @@
 		w.queue.Sweep(w.now)
 		w.n.Coordinator.Turn()
 		if w.woken {
+			w.now += 0.001 // a turn takes its time: what is to be done at once may not come at the same time for ever
 			continue
 		}
 		next, which := 0.0, -1
@@ -62,7 +64,7 @@
 				next, which = e.at, k
 			}
 		}
-		if which < 0 {
+		if which < 0 || w.until > 0 && next > w.until {
 			return
 		}
 		if at, ok := w.queue.Next(); ok && at < next {
@@ -96,6 +98,8 @@
 func (g *groupSide) Close()       { g.closed = true }
 func (g *groupSide) Pending() int { return 0 }
 func (g *groupSide) Quiet() bool  { return !g.closed }
+func (g *groupSide) Shut()        {}
+func (g *groupSide) Abort()       { g.Close() }
 
 func (g *groupSide) reply(ms float64, text string, then func()) {
 	g.w.at(ms, func() {
@@ -160,6 +164,8 @@
 func (c *caller) Close()       {}
 func (c *caller) Pending() int { return 0 }
 func (c *caller) Quiet() bool  { return true }
+func (c *caller) Shut()        {}
+func (c *caller) Abort()       { c.Close() }
 
 func (c *caller) Write(b []byte) {
 	c.b.Write(b)
--- /dev/null
+++ b/internal/node/order_test.go
@@ -0,0 +1,441 @@
+package node
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math/rand"
+	"strings"
+	"testing"
+
+	"thymeway/choice"
+	"thymeway/internal/conftest"
+	"thymeway/internal/coordinator"
+	"thymeway/internal/deadline"
+	"thymeway/internal/link"
+)
+
+// sea is a network with worker groups that are cut off, reset connections, drain, crash and fall silent for good. The
+// worker groups keep account of what runs, and check the rules on what they see themselves.
+type sea struct {
+	*world
+	engines []*island
+	seq     map[string]int     // requests by id, in the order in which the program took them
+	keyOf   map[string]string  // by id
+	begun   map[string]int     // by key: the latest request of which an attempt was sent
+	rest    map[string]resting // by key
+	sticky  bool               // an answer that is not delivered yet counts as asked for
+	rough   float64            // chance of a reset under a call, and of a spoilt answer
+}
+
+// resting is when an attempt of a key's request was given up last.
+type resting struct {
+	at  float64
+	seq int
+}
+
+// island is a worker group.
+type island struct {
+	s          *sea
+	id, addr   string
+	from, to   float64 // of its cut
+	drains     bool
+	down       bool
+	conns      map[*strait]bool
+	queries    map[string]*voyage
+	ends       map[string]string // what a call for the news of an ended query is told
+	generation int
+}
+
+// voyage is a query that runs.
+type voyage struct {
+	asked float64
+	held  []func(answer string)
+	owed  int // answers on their way
+}
+
+// strait is a connection: bytes of either side come in their order, late where a cut lies in between.
+type strait struct {
+	e              *island
+	h              link.Handler
+	ours, theirs   bool // ended by the program, by the worker group
+	there, back    float64
+	undelivered    int
+	aborted, fined bool
+}
+
+const settle = 500.0
+
+// arrive is when what is sent now comes, behind what was sent before.
+func (c *strait) arrive(last *float64) float64 {
+	s := c.e.s
+	at := s.now + 1 + s.rand.Float64()
+	if at >= c.e.from && at < c.e.to {
+		at = c.e.to + 40*s.rand.Float64()
+	}
+	*last = max(*last, at)
+	return *last - s.now
+}
+
+func (s *sea) Dial(addr string, h link.Handler) {
+	for _, e := range s.engines {
+		if e.addr != addr {
+			continue
+		}
+		switch {
+		case s.now >= e.from && s.now < e.to:
+			s.at(250, func() { h.Closed(link.Unreached) })
+		case e.drains || e.down:
+			s.at(1, func() { h.Closed(link.Refused) })
+		default:
+			c := &strait{e: e, h: h}
+			e.conns[c] = true
+			s.at(1, func() { h.Opened(c) })
+		}
+		return
+	}
+	s.at(1, func() { h.Closed(link.Refused) })
+}
+
+func (c *strait) Pending() int { return 0 }
+func (c *strait) Quiet() bool  { return !c.theirs && !c.ours }
+
+// Close ends the program's side behind what it has written, which comes all the same.
+func (c *strait) Close() {
+	c.ours = true
+	c.fin()
+}
+
+func (c *strait) Shut() { c.fin() }
+
+func (c *strait) fin() {
+	if !c.fined {
+		c.fined = true
+		c.e.s.at(c.arrive(&c.there), func() { c.end(link.Hangup) })
+	}
+}
+
+// Abort drops what has not come yet.
+func (c *strait) Abort() {
+	c.ours, c.aborted = true, true
+	c.e.s.at(c.arrive(&c.there), func() { c.end(link.Broken) })
+}
+
+// end is the worker group's side ending: nothing is read or answered any more.
+func (c *strait) end(how link.End) {
+	if c.theirs {
+		return
+	}
+	c.theirs = true
+	delete(c.e.conns, c)
+	c.e.s.at(c.arrive(&c.back), func() {
+		if !c.ours {
+			c.ours = true
+			c.h.Closed(how)
+		}
+	})
+}
+
+func (c *strait) Write(b []byte) {
+	if c.ours {
+		return
+	}
+	s, text := c.e.s, string(b)
+	if strings.HasPrefix(text, "POST") {
+		s.sent(hop.FindStringSubmatch(text)[1])
+	}
+	s.at(c.arrive(&c.there), func() {
+		if !c.theirs && !c.aborted {
+			c.e.take(c, text)
+		}
+	})
+}
+
+// sent checks the order as the program sends: no earlier request of the key is out, and the key has rested.
+func (s *sea) sent(id string) {
+	key := s.keyOf[id]
+	if key == "" {
+		return
+	}
+	if s.seq[id] < s.begun[key] {
+		s.broke = append(s.broke, fmt.Sprintf("%.0f: %s is sent after a later one of its key", s.now-start, id))
+	}
+	s.begun[key] = s.seq[id]
+	for _, e := range s.engines {
+		for o := range e.queries {
+			if o != id && s.keyOf[o] == key {
+				s.broke = append(s.broke, fmt.Sprintf("%.0f: %s is sent while %s runs", s.now-start, id, o))
+			}
+		}
+	}
+	if r := s.rest[key]; r.seq != s.seq[id] && s.now < r.at+settle {
+		s.broke = append(s.broke, fmt.Sprintf("%.0f: %s is sent %.0f ms after an attempt of its key was given up", s.now-start, id, s.now-r.at))
+	}
+}
+
+func (e *island) answer(c *strait, text string, then func()) {
+	s := e.s
+	if s.rand.Float64() < s.rough {
+		text = "HTTP/1.1 2x0 OK\r\n\r\n"
+	}
+	s.at(c.arrive(&c.back), func() {
+		if then != nil {
+			then()
+		}
+		if !c.ours {
+			c.h.Received([]byte(text))
+		}
+	})
+}
+
+const unknown = "HTTP/1.1 500 -\r\nContent-Length: 0\r\n\r\n"
+
+// take takes a call that has come whole.
+func (e *island) take(c *strait, text string) {
+	s := e.s
+	if e.down {
+		return
+	}
+	roll := s.rand.Float64()
+	if roll < s.rough { // reset before it is heard
+		c.end(link.Broken)
+		return
+	}
+	line := strings.Fields(text)
+	id := strings.Split(line[1]+"//", "/")[2]
+	switch line[0] {
+	case "POST":
+		id = hop.FindStringSubmatch(text)[1]
+		if s.rand.Intn(20) == 0 {
+			e.ends[id] = "HTTP/1.1 503 -\r\nX-No-Effect: 1\r\nContent-Length: 0\r\n\r\n"
+			e.answer(c, e.ends[id], nil)
+			break
+		}
+		e.begin(id)
+		e.poll(c, id)
+	case "GET":
+		e.poll(c, id)
+	case "DELETE":
+		e.over(id, unknown, true)
+		e.answer(c, "HTTP/1.1 204 -\r\n\r\n", nil)
+	}
+	if roll < 2*s.rough {
+		c.end(link.Broken)
+	}
+}
+
+// begin starts a query, and checks that none of its key and none of its own runs.
+func (e *island) begin(id string) {
+	s, key := e.s, e.s.keyOf[id]
+	for _, x := range s.engines {
+		for o := range x.queries {
+			if o == id || key != "" && s.keyOf[o] == key {
+				s.broke = append(s.broke, fmt.Sprintf("%.0f: %s begins on %s while %s runs on %s", s.now-start, id, e.id, o, x.id))
+			}
+		}
+	}
+	if key != "" && s.seq[id] < s.begun[key] {
+		s.broke = append(s.broke, fmt.Sprintf("%.0f: %s begins after a later one of its key was sent", s.now-start, id))
+	}
+	v := &voyage{asked: s.now}
+	e.queries[id] = v
+	delete(e.ends, id)
+	end := "HTTP/1.1 200 OK\r\nPage-Count: 1\r\nWork-Ms: 5\r\nPeak-Mb: 8\r\nContent-Length: 6\r\n\r\na\tb\tc\n"
+	if s.rand.Intn(10) == 0 {
+		end = unknown
+	}
+	s.at(20+s.rand.ExpFloat64()*800, func() {
+		if e.queries[id] == v {
+			e.over(id, end, false)
+		}
+	})
+	var look func()
+	look = func() {
+		if e.queries[id] != v {
+			return
+		}
+		if left := v.asked + 2000 - s.now; left > 0 || v.owed > 0 {
+			s.at(max(left, 100), look)
+			return
+		}
+		e.over(id, unknown, true)
+	}
+	s.at(2000, look)
+}
+
+// over ends a query: by itself, or given up.
+func (e *island) over(id, end string, givenUp bool) {
+	v := e.queries[id]
+	if v == nil {
+		return
+	}
+	delete(e.queries, id)
+	e.ends[id] = end
+	if key := e.s.keyOf[id]; givenUp && key != "" {
+		e.s.rest[key] = resting{e.s.now, e.s.seq[id]}
+	}
+	for _, f := range v.held {
+		f(end)
+	}
+}
+
+// poll tells the news of a query: its end, or after 250 ms that it runs.
+func (e *island) poll(c *strait, id string) {
+	s, v := e.s, e.queries[id]
+	if v == nil {
+		end := e.ends[id]
+		if end == "" {
+			end = unknown
+		}
+		e.answer(c, end, nil)
+		return
+	}
+	v.asked = s.now
+	done := false
+	tell := func(text string) {
+		if !done && !c.theirs {
+			done = true
+			if s.sticky {
+				v.owed++
+			}
+			e.answer(c, text, func() {
+				if s.sticky {
+					v.owed--
+					v.asked = s.now
+				}
+			})
+		}
+	}
+	v.held = append(v.held, tell)
+	s.at(250, func() { tell("HTTP/1.1 202 -\r\nContent-Length: 0\r\n\r\n") })
+}
+
+// trouble has one thing happen to a worker group.
+func (e *island) trouble() {
+	s := e.s
+	switch s.rand.Intn(5) {
+	case 0, 1: // cut off, for less or more than any time that the program knows of
+		if s.now >= e.to {
+			e.from, e.to = s.now, s.now+200+s.rand.Float64()*12000
+		}
+	case 2: // it drains; the list tells late, and it comes back as it was
+		e.drains = true
+		s.at(s.rand.Float64()*3000, func() { e.list(choice.Draining) })
+		s.at(3000+s.rand.Float64()*3000, func() { e.drains = false; e.list(choice.Healthy) })
+	case 3: // its process dies, and another one comes
+		for c := range e.conns {
+			c.end(link.Broken)
+		}
+		for id := range e.queries {
+			e.over(id, unknown, true)
+		}
+		e.ends, e.down = map[string]string{}, true
+		s.at(100+s.rand.Float64()*2000, func() { e.down = false })
+	case 4: // all its connections are reset, and it runs on
+		for c := range e.conns {
+			c.end(link.Broken)
+		}
+	}
+}
+
+func (e *island) list(st choice.Status) {
+	e.s.n.Coordinator.List(false, []coordinator.Member{{Engine: choice.Engine{ID: e.id, Zone: "room-a", Kind: "std-12", Size: 1, Status: st}, Addr: e.addr}})
+}
+
+// storm plays requests of a few keys against worker groups in trouble.
+func storm(t *testing.T, seed int64) (s *sea, answers []float64, served int) {
+	c := conftest.Example(t)
+	w := &world{t: t, now: start, queue: deadline.New(), rand: rand.New(rand.NewSource(seed))}
+	s = &sea{world: w, seq: map[string]int{}, keyOf: map[string]string{}, begun: map[string]int{}, rest: map[string]resting{}}
+	s.sticky, s.rough = w.rand.Intn(2) == 0, 0.06*w.rand.Float64()
+	var err error
+	if w.n, err = New(c, s, w.queue, func() float64 { return w.now }, func() { w.woken = true }); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 4 {
+		e := &island{s: s, id: fmt.Sprintf("s-toy%d", i+1), addr: fmt.Sprintf("127.0.0.1:%d", 4101+i), conns: map[*strait]bool{},
+			queries: map[string]*voyage{}, ends: map[string]string{}}
+		s.engines = append(s.engines, e)
+		w.at(0, func() { e.list(choice.Healthy) })
+		for at := 500.0; at < 30000; at += 500 + w.rand.Float64()*8000 {
+			if w.rand.Intn(3) > 0 {
+				w.at(at, e.trouble)
+			}
+		}
+	}
+	lost := s.engines[3]
+	w.at(25000, func() { lost.from, lost.to = w.now, w.now+1e9 }) // silent for good
+	const count = 150
+	answers = make([]float64, count)
+	for i := range count {
+		at, limit := float64(i)*200+60+w.rand.Float64()*100, 1500+w.rand.Float64()*8000
+		if i >= count-10 { // long after: keys have come free
+			at, limit = 300e3+float64(i)*1000, 15000
+		}
+		key := fmt.Sprintf("k%d", w.rand.Intn(4))
+		leaves := w.rand.Intn(12) == 0
+		w.at(at, func() {
+			id := fmt.Sprintf("%016x", i+1)
+			s.seq[id], s.keyOf[id] = i+1, key
+			c := &caller{w: w}
+			c.h = w.n.Accept(0)
+			c.h.Opened(c)
+			c.answer = func(string, bool) {
+				c.answer = func(_ string, ok bool) {
+					if ok {
+						served++
+					}
+					answers[i] = w.now - start - at - limit
+					if answers[i] == 0 {
+						answers[i] = -1
+					}
+				}
+				text := fmt.Sprintf("/* verb=load,txn=%s,limit=%.0f,team=acme,unique=u%d,item=%s,cpu=900,heap_mb=90 */ INSERT INTO sales_17.orders SELECT %d FROM staging.b", id, limit, i, key, i)
+				c.h.Received(packet("Q", text+"\x00"))
+			}
+			c.h.Received(append(binary.BigEndian.AppendUint32(binary.BigEndian.AppendUint32(nil, 17), 3<<16), "user\x00app\x00\x00"[:9]...))
+			if leaves && i < count-10 {
+				w.at(w.rand.Float64()*2000, func() {
+					if answers[i] == 0 {
+						answers[i] = -1
+						c.h.Closed(link.Broken)
+					}
+				})
+			}
+		})
+	}
+	w.until = start + 500e3
+	w.at(500e3, func() {})
+	w.run()
+	return s, answers, served
+}
+
+// Whatever the network and the worker groups do, these see requests of a key in their order and one at a time, one
+// attempt of a request at a time, and a rest after one that was given up; and clients have their answer in time.
+func TestOrderInStorms(t *testing.T) {
+	total := 0
+	for seed := int64(1); seed <= 40; seed++ {
+		s, answers, served := storm(t, seed)
+		for i, b := range s.broke {
+			if i < 3 {
+				t.Errorf("seed %d: %s", seed, b)
+			}
+		}
+		for i, late := range answers {
+			if late == 0 || late > 50 {
+				t.Errorf("seed %d: request %d: answered %.0f ms after its limit (0: never)", seed, i+1, late)
+			}
+		}
+		total += served
+		for i := len(answers) - 10; i < len(answers); i++ {
+			if answers[i] > -5000 {
+				t.Errorf("seed %d: request %d waited till the end: its key is blocked", seed, i+1)
+			}
+		}
+		if s.n.Coordinator.Owed() != 0 || s.n.out() != 0 {
+			t.Errorf("seed %d: %d answers owed, %d attempts out at the end", seed, s.n.Coordinator.Owed(), s.n.out())
+		}
+	}
+	if total < 2000 { // of 6,000; waiting for all would keep every rule
+		t.Errorf("only %d requests were served", total)
+	}
+}
--- a/internal/node/play_test.go
+++ b/internal/node/play_test.go
@@ -111,6 +111,19 @@
 
 func (s *side) Quiet() bool { return !s.unread }
 
+func (s *side) Shut() {
+	if !s.closed {
+		s.p.say("%s ended on the program's side", s.name)
+	}
+}
+
+func (s *side) Abort() {
+	if !s.closed {
+		s.closed = true
+		s.p.say("%s aborted by the program", s.name)
+	}
+}
+
 func (p *player) say(format string, args ...any) {
 	p.out = append(p.out, "  "+fmt.Sprintf(format, args...))
 }
--- a/internal/pg/session_test.go
+++ b/internal/pg/session_test.go
@@ -17,6 +17,8 @@
 func (s *sink) Close()         {}
 func (s *sink) Pending() int   { return 0 }
 func (s *sink) Quiet() bool    { return true }
+func (s *sink) Shut()          {}
+func (s *sink) Abort()         { s.Close() }
 
 // A flood of good messages takes several turns: other clients come in between.
 func TestTurns(t *testing.T) {
--- a/internal/rest/attempt.go
+++ b/internal/rest/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"math"
+	"slices"
 	"strconv"
 	"unicode/utf8"
 
@@ -19,16 +20,19 @@
 	coordinator.Attempt
 	f         *Fleet
 	g         *group
+	query     *query
 	sent      float64
-	askedAt   float64 // when a call that keeps the query alive was last written; 0: none was
-	postedAt  float64
-	known     bool  // the worker group has shown that it has the query
-	lapsed    bool  // nobody had asked for so long that the worker group may have dropped it
-	broke     bool  // the connection of the POST ended without an answer
-	spoilt    int   // answers in a row that can't be used
-	call      *call // the call under way
-	control   *call // the DELETE
+	post      *call
+	postedAt  float64 // when the POST was written; 0: it was not
+	known     bool    // the worker group has shown that it has the query
+	aliveAt   float64 // when the last call was written that found the query running; 0: a call has failed since
+	spoilt    int     // answers in a row that can't be used
+	call      *call   // the call under way
+	control   *call   // the DELETE
+	tries     int     // DELETEs without an answer that is proof
 	cancelled bool
+	reason    link.End // why it was given up
+	told      bool     // the worker group has told its end since
 	over      bool
 	ended     coordinator.Outcome
 	budget    deadline.Entry // the end of the wait
@@ -49,8 +53,17 @@
 	}
 	a.f.attempts[key{a.ID, a.Number}] = a
 	a.g.attempts++
+	a.query = a.g.query(a.ID)
+	a.query.attempts = append(a.query.attempts, a)
+	a.lapse.Do = func() {
+		if a.cancelled {
+			a.finish(a.reason)
+		} else {
+			a.finish(link.Silent)
+		}
+	}
 	a.budget.Do = func() {
-		if a.askedAt == 0 { // it was never written
+		if a.postedAt == 0 { // it was never written
 			a.finish(link.Unreached)
 			return
 		}
@@ -60,23 +73,29 @@
 		a.giveUp(link.Silent)
 	}
 	a.f.Deadlines.Set(&a.budget, a.Until)
-	a.start(a.post, pollWithin, a.posted)
+	a.post = &call{build: a.first, within: pollWithin, done: a.posted}
+	a.inquire(a.post)
 }
 
-func (a *attempt) start(build func() []byte, within float64, done func(*reply, link.End)) {
-	a.call = &call{build: build, within: within, done: done, stays: a.postedAt > 0}
-	a.g.start(a.call)
+func (a *attempt) start(c *call) {
+	a.call, c.stays = c, a.postedAt > 0
+	a.g.start(c)
 }
 
-// post makes the first call. The budget is what is left when it is written, not when it was asked for.
-func (a *attempt) post() []byte {
+// inquire makes a call that keeps the query alive. What it answers counts late too.
+func (a *attempt) inquire(c *call) {
+	c.asks, c.late = a.query, func(r *reply) { a.late(c, r) }
+	a.start(c)
+}
+
+// first makes the bytes of the POST. The budget is what is left when it is written, not when it was asked for.
+func (a *attempt) first() []byte {
 	left := math.Floor(a.Until - a.f.Now())
 	if left < 1 {
 		return nil
 	}
-	a.askedAt = a.f.Now()
-	a.postedAt = a.askedAt
-	logs.Trace("post", a.ID, "engine", a.Engine, "addr", a.g.Addr, "left", left, "waited", a.askedAt-a.sent)
+	a.postedAt = a.f.Now()
+	logs.Trace("post", a.ID, "engine", a.Engine, "addr", a.g.Addr, "left", left, "waited", a.postedAt-a.sent)
 	h := []string{"X-Hop-Id", a.ID, "X-Sort", a.Class, "X-Budget", strconv.Itoa(int(left))}
 	if a.Idem != "" {
 		h = append(h, "X-Replay-Key", a.Idem)
@@ -89,10 +108,6 @@
 }
 
 func (a *attempt) get(page int) []byte {
-	if page == 0 {
-		a.lapsed = a.lapsed || a.f.Now() > a.askedAt+unasked-unaskedSlack
-		a.askedAt = a.f.Now()
-	}
 	return request("GET", "/obj/"+a.ID+"/"+strconv.Itoa(page), a.g.Addr, "", nil)
 }
 
@@ -100,10 +115,9 @@
 func (a *attempt) posted(r *reply, e link.End) {
 	switch {
 	case r != nil:
-		a.news(r)
-	case a.askedAt > 0:
+		a.news(a.post, r)
+	case a.postedAt > 0:
 		logs.Trace("post-broke", a.ID, "engine", a.Engine, "end", e)
-		a.broke = true
 		a.askIn(0)
 	case e == link.Refused || e == link.Crowded:
 		a.finish(e)
@@ -113,37 +127,79 @@
 }
 
 func (a *attempt) ask() {
-	a.start(func() []byte { return a.get(0) }, pollWithin, func(r *reply, e link.End) {
+	c := &call{within: pollWithin}
+	c.build = func() []byte {
+		c.after = a.fixed()
+		return a.get(0)
+	}
+	c.done = func(r *reply, e link.End) {
 		switch {
 		case r != nil:
-			a.news(r)
-		case e == link.Refused && a.g.dead(): // its process has ended, and the query with it
+			a.news(c, r)
+		case e == link.Refused && a.g.replaced():
 			a.finish(link.Died)
-		case a.f.Now() > a.dropped(): // nobody could ask for so long that the query is no more
-			a.finish(link.Silent)
 		case e == link.Unreached || e == link.Silent:
 			a.askIn(retryPause)
 		default:
 			a.askIn(quickPause)
 		}
-	})
+	}
+	a.inquire(c)
 }
 
 // askIn asks again after a pause. Danger: asking at once would spin where connections break at once.
 func (a *attempt) askIn(pause float64) {
-	a.call = nil
+	a.call, a.aliveAt = nil, 0
 	a.again.Do = a.ask
 	a.f.Deadlines.Set(&a.again, a.f.Now()+pause)
+	a.watch()
+}
+
+// late takes an answer that came after its call was taken for silent, or after the attempt was given up.
+func (a *attempt) late(c *call, r *reply) {
+	logs.Trace("late", a.ID, "engine", a.Engine, "status", r.status, "after", a.f.Now()-c.wrote, "own", c == a.post, "fixed", c.after)
+	end := r.status == 200 || r.status/100 == 5
+	switch {
+	case a.over:
+	case a.cancelled:
+		a.known = a.known || r.status == 202
+		if a.told = a.told || end && a.ends(c); a.told && (a.control == nil || a.control.waits()) {
+			// Danger: a DELETE on its way could overtake the next POST of the same query. It is waited for.
+			a.finish(a.reason)
+			return
+		}
+		a.settled()
+	case r.status == 202:
+		a.known = true
+	case end && a.ended.Result == nil:
+		if a.call != nil {
+			a.call.drop()
+		}
+		a.f.Deadlines.Clear(&a.again)
+		a.news(c, r)
+	}
+}
+
+// settled comes once a call that keeps the query alive has come or never will. What was given up is deleted anew then:
+// a DELETE from before proves nothing.
+func (a *attempt) settled() {
+	if !a.cancelled || a.over {
+		return
+	}
+	a.watch()
+	if a.fixed() && a.control == nil {
+		a.f.Deadlines.Set(&a.again, a.f.Now())
+	}
 }
 
 // news takes the answer to a POST or to a call for page 0.
-func (a *attempt) news(r *reply) {
+func (a *attempt) news(c *call, r *reply) {
 	if r.report != (choice.Report{}) {
 		a.ended.Report = r.report
 	}
 	switch {
 	case r.status == 202:
-		a.known, a.spoilt = true, 0
+		a.known, a.spoilt, a.aliveAt = true, 0, c.wrote
 		kind, known := notes[r.tell]
 		a.ask()
 		if known {
@@ -154,11 +210,14 @@
 		a.ended.Work, a.ended.Mem = r.work, r.peak
 		a.ended.Result = &result.Set{Pages: make([][]byte, r.pages)}
 		a.page(0, r)
+	case r.status/100 == 5 && !a.ends(c): // it may speak of a time before the POST came, or of an attempt before
+		a.askIn(retryPause)
 	case r.status == 503 && r.noEffect:
 		a.finish(link.Full)
 	case r.status == 504 && r.noEffect:
 		a.finish(link.Over)
-	case r.status == 500 && (a.broke && !a.known || a.lapsed):
+	case r.status == 500 && c != a.post && a.f.Now() > a.aliveAt+unasked-unaskedSlack:
+		// Danger: it may be an error, or the query is not known any more: dropped, or lost with its process, a moment ago.
 		a.finish(link.Lost)
 	case r.status/100 == 5:
 		a.finish(link.Failed)
@@ -204,9 +263,9 @@
 		a.again.Do = func() { a.fetch(n) }
 		a.f.Deadlines.Set(&a.again, a.f.Now()+quickPause)
 	}
-	a.start(func() []byte { return a.get(n) }, callWithin, func(r *reply, e link.End) {
+	a.start(&call{build: func() []byte { return a.get(n) }, within: callWithin, done: func(r *reply, e link.End) {
 		switch {
-		case e == link.Refused && a.g.dead():
+		case e == link.Refused && a.g.replaced():
 			a.finish(link.Died)
 		case r == nil:
 			again(link.Broken)
@@ -219,7 +278,7 @@
 			a.g.spoil()
 			again(link.Garbled)
 		}
-	})
+	}})
 }
 
 // rows tells whether a page holds whole rows of three columns of text. Only a result of one page may have none.
@@ -240,39 +299,29 @@
 	return true
 }
 
-// giveUp has the query deleted; e is the end that the attempt comes to. Danger: a request may have one attempt out, so
-// its next send has to wait until this one is known to be over: its DELETE is answered, its process is dead, or nobody
-// has asked for it for so long that the worker group has dropped it.
+// giveUp has the query deleted; e is the end that the attempt comes to once that is proved. Danger: a request may have one
+// attempt out, so its next send has to wait until then, and so have the next requests of its key.
 func (a *attempt) giveUp(e link.End) {
 	if a.cancelled || a.over {
 		return
 	}
-	a.cancelled = true
-	if a.askedAt == 0 { // it was never written
+	a.cancelled, a.reason = true, e
+	if a.postedAt == 0 || a.ended.Result != nil { // it was never written, or has told its end
 		a.finish(e)
 		return
 	}
-	if c := a.call; c != nil && !c.g.forget(c) {
+	if c := a.call; c != nil && !c.g.forget(c) && c.asks != nil {
 		c.done = func(r *reply, _ link.End) { // a call under way may still tell that the query has ended
-			// Danger: a DELETE on its way could overtake the next POST of the same query. It is waited for.
-			if r != nil && (r.status == 200 || r.status/100 == 5) && (a.control == nil || a.control.waits()) {
-				a.finish(e)
+			if r != nil {
+				a.late(c, r)
 			}
 		}
 	}
-	a.lapse.Do = func() { a.finish(e) }
-	a.f.Deadlines.Set(&a.lapse, a.dropped())
+	a.watch()
 	a.again.Do = func() {
-		a.delete(func(r *reply, end link.End) {
-			logs.Trace("deleted", a.ID, "engine", a.Engine, "answered", r != nil, "end", end)
-			switch {
-			case a.over:
-			case r != nil && (r.status/100 == 2 || r.status/100 == 5) || end == link.Refused && a.g.dead(): // deleted, not known, or ended
-				a.finish(e)
-			default:
-				a.f.Deadlines.Set(&a.again, a.f.Now()+quickPause)
-			}
-		})
+		if a.control == nil {
+			a.delete()
+		}
 	}
 	a.f.Deadlines.Clear(&a.again)
 	if at := a.postedAt + sendApart; at > a.f.Now() {
@@ -282,16 +331,31 @@
 	a.again.Do()
 }
 
-// dropped is when a worker group has dropped the query at the latest, as nobody asked for it. Danger: it may look only
-// once in that time; queries of worker groups that were cut off were seen to run for up to twice as long.
-func (a *attempt) dropped() float64 { return a.askedAt + 2*unasked + unaskedSlack }
-
-// delete tells the worker group that the query is given up.
-func (a *attempt) delete(done func(*reply, link.End)) {
-	c := &call{within: callWithin, stays: true, build: func() []byte { return request("DELETE", "/obj/"+a.ID, a.g.Addr, "", nil) }}
+// delete tells the worker group that the query is given up. Danger: before the POST has come it is no word on it.
+func (a *attempt) delete() {
+	c := &call{within: callWithin, stays: true}
+	c.build = func() []byte {
+		c.after = a.fixed()
+		return request("DELETE", "/obj/"+a.ID, a.g.Addr, "", nil)
+	}
 	c.done = func(r *reply, e link.End) {
 		a.control = nil
-		done(r, e)
+		status := 0
+		if r != nil {
+			status = r.status
+		}
+		logs.Trace("deleted", a.ID, "engine", a.Engine, "status", status, "end", e, "fixed", c.after)
+		switch {
+		case a.over:
+		case a.told, status == 204 && c.after, e == link.Refused && a.g.replaced():
+			a.finish(a.reason)
+		case status == 204 && !a.fixed(): // deleted anew once the POST has come
+		case status == 204:
+			a.f.Deadlines.Set(&a.again, a.f.Now())
+		default: // danger: an engine silent for long would be tried many times a second
+			a.tries = min(a.tries+1, 8)
+			a.f.Deadlines.Set(&a.again, a.f.Now()+min(quickPause*float64(int(1)<<a.tries)/2, unasked))
+		}
 	}
 	a.control = c
 	a.g.start(c)
@@ -306,6 +370,8 @@
 	if k := (key{a.ID, a.Number}); a.f.attempts[k] == a {
 		delete(a.f.attempts, k)
 		a.g.attempts--
+		a.query.attempts = slices.DeleteFunc(a.query.attempts, func(x *attempt) bool { return x == a })
+		a.query.forget()
 		defer a.f.forget(a.g)
 	}
 	for _, t := range []*deadline.Entry{&a.budget, &a.again, &a.lapse} {
--- a/internal/rest/fleet.go
+++ b/internal/rest/fleet.go
@@ -26,6 +26,8 @@
 	extraWithin  = 4.0    // after a good answer, for bytes behind it to come before the connection is used again
 	refusedPause = 50.0   // after a refused connection, before another one is asked for
 	sendApart    = 30.0   // between a POST and the DELETE of its query on another connection, which must not overtake it
+	keptMost     = 100e3  // for which a silent connection is kept, as TCP has to keep one at least (RFC 1122, 4.2.3.5)
+	segmentLife  = 120e3  // for which the network may hold what was sent (RFC 9293, 3.4.1)
 	mostBroken   = 4      // connections in a row that are reset as they come up, before a call hears of it
 	mostSpoilt   = 8      // spoilt answers in a row before a query is given up
 	mostPages    = 64
@@ -68,19 +70,27 @@
 	}
 }
 
-// room tells whether one more connection may be opened, and closes an idle one elsewhere if that makes room.
+// room tells whether one more connection may be opened, and closes an idle one elsewhere if that makes room, or the one
+// that has been silent for longest. Danger: silent ones may be all that there are, and no worker group be reached.
 func (f *Fleet) room() bool {
 	if f.wires < f.MostWires {
 		return true
 	}
 	var most *group
+	var silent *wire
 	for _, g := range f.groups.All() {
 		if most == nil || len(g.idle) > len(most.idle) {
 			most = g
 		}
+		if len(g.kept) > 0 && (silent == nil || g.kept[0].call.wrote < silent.call.wrote) {
+			silent = g.kept[0]
+		}
 	}
 	if most == nil || len(most.idle) == 0 {
-		return false
+		if silent != nil {
+			silent.abort()
+		}
+		return silent != nil
 	}
 	w := most.idle[0]
 	w.unidle()
--- a/internal/rest/pool.go
+++ b/internal/rest/pool.go
@@ -1,6 +1,7 @@
 package rest
 
 import (
+	"maps"
 	"slices"
 
 	"thymeway/internal/deadline"
@@ -10,12 +11,17 @@
 
 // call is one call to a worker group. done comes once, unless the call is dropped.
 type call struct {
-	g      *group
-	build  func() []byte // the bytes, made when they are written; nil calls it off
-	within float64       // ms for the answer, from when the call is written
-	done   func(r *reply, e link.End)
-	stays  bool           // it concerns a query that may run there: it waits for an open connection
-	timer  deadline.Entry // for a connection, then for the answer
+	g       *group
+	build   func() []byte // the bytes, made when they are written; nil calls it off
+	within  float64       // ms for the answer, from when the call is written
+	done    func(r *reply, e link.End)
+	late    func(r *reply) // after done told of silence: the answer that came all the same; nil: none is looked at
+	stays   bool           // it concerns a query that may run there: it waits for an open connection
+	asks    *query         // the query that it keeps alive: its connection is kept until it is known what became of it
+	wrote   float64        // when it was written
+	after   bool           // it was written when its query's POST had come, or was known never to come
+	settled bool           // it has come, or never will
+	timer   deadline.Entry // for a connection, then for the answer
 }
 
 // group is a worker group's connections and the calls that wait for one.
@@ -28,11 +34,11 @@
 	dialing  int
 	pausing  int            // connections that will be free in a moment
 	wires    int            // connections, those on their way too
-	open     int            // of those the ones that are up
+	kept     []*wire        // that fell silent under a call that keeps a query alive, the first one first
 	reopen   deadline.Entry // set after a refusal: no connection is asked for before
-	reset    bool           // since one last came up, a connection ended from the other side
 	broken   int            // connections in a row that were reset as they came up
 	attempts int
+	queries  map[string]*query // by the request's id
 }
 
 // wire is a connection to a worker group.
@@ -43,6 +49,7 @@
 	parser  parser
 	call    *call
 	begun   bool // a part of an answer has come
+	deaf    bool // what comes is of no use: it is kept for its end only
 	pausing bool
 	timer   deadline.Entry // ends its pause, or closes it when idle for long
 }
@@ -104,17 +111,16 @@
 // its queries on; what concerns those waits for a connection that is open.
 func (g *group) refuse(e link.End) {
 	for _, c := range g.waiting {
-		if !c.stays || e != link.Refused || g.dead() {
+		if !c.stays || e != link.Refused || g.replaced() {
 			g.fail(c, e)
 			return
 		}
 	}
 }
 
-// dead tells, of a worker group that refuses a connection, whether its process has ended: then all that were up ended
-// from its side, or another one listens there. Danger: one that drains refuses too and runs its queries on; that we
-// have closed what said nothing proves nothing.
-func (g *group) dead() bool { return g.open == 0 && g.reset || g.Addr == "" }
+// replaced tells whether another process listens at the address: the one before has ended. Danger: a refusal proves no
+// such thing, as one that drains refuses too and runs its queries on; nor do connections that were reset.
+func (g *group) replaced() bool { return g.Addr == "" }
 
 // forget takes a call from the line.
 func (g *group) forget(c *call) bool {
@@ -131,8 +137,15 @@
 // Left tells whether nothing of the group's is open or out.
 func (g *group) Left() bool { return g.wires == 0 && g.attempts == 0 && len(g.waiting) == 0 }
 
-// Lose ends what waits: another one has the group's address.
+// Lose ends what waits, and what was given up: another one has the group's address.
 func (g *group) Lose() {
+	for _, id := range slices.Sorted(maps.Keys(g.queries)) {
+		for _, a := range slices.Clone(g.queries[id].attempts) {
+			if a.cancelled {
+				a.finish(a.reason)
+			}
+		}
+	}
 	for len(g.waiting) > 0 {
 		g.fail(g.waiting[0], link.Refused)
 	}
@@ -165,16 +178,63 @@
 		c.done(nil, link.Unreached)
 		return
 	}
-	w.call = c
+	w.call, c.wrote = c, f.Now()
 	c.timer.Do = func() {
 		// Danger: a machine that is cut off keeps its connections open and says nothing.
-		w.close()
-		w.end(link.Silent)
+		if c.asks == nil {
+			w.close()
+			w.end(link.Silent)
+			return
+		}
+		done := c.done
+		c.done = func(r *reply, _ link.End) {
+			if r != nil && c.late != nil {
+				c.late(r)
+			}
+		}
+		w.keep()
+		done(nil, link.Silent)
 	}
 	f.Deadlines.Set(&c.timer, f.Now()+c.within)
+	if c.asks != nil {
+		c.asks.written()
+	}
 	w.c.Write(b)
 }
 
+// keep leaves a connection open whose call has no answer yet. Danger: the system goes on sending what was written to a
+// connection that we close, and never tells what became of it; a query would start, or live on, once the way is clear.
+func (w *wire) keep() {
+	g := w.g
+	g.kept = append(g.kept, w)
+	w.timer.Do = func() {
+		w.abort()
+		g.f.serve()
+		g.f.forget(g)
+	}
+	g.f.Deadlines.Set(&w.timer, g.f.Now()+keptMost)
+}
+
+// unkeep ends that.
+func (w *wire) unkeep() {
+	if i := slices.Index(w.g.kept, w); i >= 0 {
+		w.g.kept = slices.Delete(w.g.kept, i, i+1)
+		w.g.f.Deadlines.Clear(&w.timer)
+	}
+}
+
+// abort has the system send nothing more of what was written. What is on the network still may come for a while.
+func (w *wire) abort() {
+	f := w.g.f
+	f.Faults.Add("engine-aborted", "engine", w.g.ID, "addr", w.addr, "silent", f.Now()-w.call.wrote)
+	w.c.Abort()
+	w.off()
+	c := w.call
+	w.call = nil
+	c.timer.Do = c.settle
+	f.Deadlines.Set(&c.timer, f.Now()+segmentLife)
+}
+
 // rest takes the next call after a pause, or waits for one.
 func (w *wire) rest(pause float64) {
 	g := w.g
@@ -244,10 +304,8 @@
 
 func (w *wire) off() {
 	w.awake()
+	w.unkeep()
 	w.g.f.Deadlines.Clear(&w.timer)
-	if w.c != nil {
-		w.g.open--
-	}
 	w.g.wires--
 	w.g.f.wires--
 }
@@ -255,8 +313,6 @@
 // Opened comes when the connection is up.
 func (w *wire) Opened(c link.Conn) {
 	w.g.dialing--
-	w.g.open++
-	w.g.reset = false
 	w.c = c
 	w.rest(0)
 }
@@ -264,6 +320,9 @@
 // Received takes a part of an answer.
 func (w *wire) Received(b []byte) {
 	f := w.g.f
+	if w.deaf {
+		return
+	}
 	if w.call == nil {
 		f.Faults.Add("engine-unasked", "engine", w.g.ID, "addr", w.addr, "bytes", len(b))
 		w.unidle()
@@ -273,22 +332,23 @@
 	r, err := w.parser.take(b)
 	if err != nil {
 		f.Faults.Add("engine-garbled", "engine", w.g.ID, "addr", w.addr, "bytes", len(b), "error", err)
-		w.close()
-		w.end(link.Garbled)
+		w.garbled()
 		return
 	}
 	if r == nil {
-		if !w.begun { // danger: an answer that stops short looks like one that takes its time
+		if !w.begun && !slices.Contains(w.g.kept, w) { // danger: an answer that stops short looks like one that takes its time
 			w.begun = true
 			f.Deadlines.Set(&w.call.timer, f.Now()+restWithin)
 		}
 		return
 	}
 	w.begun = false
+	w.unkeep()
 	c := w.call
 	w.call = nil
 	f.Deadlines.Clear(&c.timer)
 	w.g.broken = 0
+	c.settle()
 	if r.close {
 		w.close()
 		c.done(r, link.Served)
@@ -308,6 +368,26 @@
 	}
 }
 
+// garbled ends a connection with bytes that can't be read. They are no word on the call, which may still be on its way:
+// the other side's end of the connection, behind ours, tells that it has read or will never read it.
+func (w *wire) garbled() {
+	c := w.call
+	if c.asks == nil {
+		w.close()
+		w.end(link.Garbled)
+		return
+	}
+	w.deaf = true
+	w.c.Shut()
+	w.g.f.Deadlines.Clear(&c.timer)
+	if !slices.Contains(w.g.kept, w) {
+		w.keep()
+	}
+	done := c.done
+	c.done = func(*reply, link.End) {}
+	done(nil, link.Garbled)
+}
+
 // spoil ends the connection whose answer is being taken: it is of no further use.
 func (g *group) spoil() {
 	if w := g.held; w != nil {
@@ -319,9 +399,11 @@
 // Closed comes when the connection ends by itself, or did not come up.
 func (w *wire) Closed(e link.End) {
 	if w.c != nil {
-		w.g.reset = true
 		w.unidle()
 		w.gone()
+		if w.call != nil {
+			w.call.settle()
+		}
 		w.end(e)
 		return
 	}
--- /dev/null
+++ b/internal/rest/proof.go
@@ -0,0 +1,89 @@
+package rest
+
+import "slices"
+
+// What proves that an attempt is over, in one place. A request has one attempt out, and the requests of a key run one at
+// a time: both rest on the word Ended, which is told of an attempt that was written only once one of these holds.
+//
+// Its POST first has to be fixed: it has come, or it never will. That is so once
+//   - it was answered, or a call for the news of the query found it running;
+//   - its connection was ended by the other side: what was not read by then never is;
+//   - its connection was given up by ours, and all that the network can hold of it is too old;
+//   - another process listens at the address, by the list.
+//
+// Then one of these ends the attempt:
+//   - answered: the answer to its POST is an end, or that to a call for the news which was written after the POST was fixed
+//     (before, it may speak of an attempt not yet there): a good end, an error, turned away, or not known;
+//   - deleted: a DELETE written after the POST was fixed is answered with 204;
+//   - replaced: another process listens at the address;
+//   - dropped: no call that keeps the query alive can still come, and the last one came unasked ms ago.
+//
+// Nothing else is proof: no silence, no refusal (one that drains refuses and runs its queries on), no reset, no list that
+// says it has gone, no answer that can't be read. Until there is proof the attempt keeps its key's place; its client is
+// answered in time all the same. An engine silent for good frees it in the end, as connections are aborted by keptMost.
+
+// query is what a worker group may have of one request: the calls that keep it alive, of all attempts there.
+type query struct {
+	g        *group
+	id       string
+	open     int     // of these calls, written and neither answered nor ended with their connections
+	at       float64 // when the last of them was
+	attempts []*attempt
+}
+
+// query is the one of an id, made if there is none.
+func (g *group) query(id string) *query {
+	q := g.queries[id]
+	if q == nil {
+		if g.queries == nil {
+			g.queries = map[string]*query{}
+		}
+		q = &query{g: g, id: id}
+		g.queries[id] = q
+	}
+	return q
+}
+
+// written counts a call that keeps the query alive.
+func (q *query) written() {
+	q.open++
+	for _, a := range q.attempts {
+		q.g.f.Deadlines.Clear(&a.lapse)
+	}
+}
+
+func (q *query) settle() {
+	q.open--
+	q.at = q.g.f.Now()
+	for _, a := range slices.Clone(q.attempts) {
+		a.settled()
+	}
+	q.forget()
+}
+
+// settle takes word that a call has come or never will.
+func (c *call) settle() {
+	if c.asks != nil && !c.settled {
+		c.settled = true
+		c.asks.settle()
+	}
+}
+
+func (q *query) forget() {
+	if q.open == 0 && len(q.attempts) == 0 && q.g.queries[q.id] == q {
+		delete(q.g.queries, q.id)
+	}
+}
+
+// fixed tells whether the POST has come, or never will.
+func (a *attempt) fixed() bool { return a.known || a.post.settled }
+
+// ends tells whether the answer to a call, an end by its form, is the end of this attempt.
+func (a *attempt) ends(c *call) bool { return c == a.post || c.after }
+
+// watch has the attempt end once its query must have been dropped, as nobody can ask for it any more.
+func (a *attempt) watch() {
+	if q := a.query; q != nil && q.open == 0 && !a.over {
+		a.f.Deadlines.Set(&a.lapse, q.at+unasked+unaskedSlack)
+	}
+}
