Pause connections after each end, and take no earlier attempt's answer for this one's

A good end found before the POST has come counts for a request's first attempt only: a later one may be told the end of the one before.

--- a/internal/node/order_test.go
+++ b/internal/node/order_test.go
@@ -185,6 +185,14 @@
 			c.h.Received([]byte(text))
 		}
 	})
+	if !strings.Contains(text, " 202 ") && s.rand.Float64() < s.rough { // a second copy
+		c.back += 3 * s.rand.Float64()
+		s.at(c.back-s.now, func() {
+			if !c.ours {
+				c.h.Received([]byte(text))
+			}
+		})
+	}
 }
 
 const unknown = "HTTP/1.1 500 -\r\nContent-Length: 0\r\n\r\n"
--- a/internal/node/play_test.go
+++ b/internal/node/play_test.go
@@ -291,6 +291,10 @@
 			text += strings.Replace(h, "=", ": ", 1) + "\r\n"
 		}
 		send([]byte(text + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)))
+		if words[0] == "204" || words[0][0] == '5' { // the connection pauses
+			p.settle()
+			p.advance(p.now + 5)
+		}
 	default:
 		p.t.Fatalf("%s: unknown", line)
 	}
--- a/internal/rest/attempt.go
+++ b/internal/rest/attempt.go
@@ -163,7 +163,7 @@
 	case a.over:
 	case a.cancelled:
 		a.known = a.known || r.status == 202
-		if a.told = a.told || end && a.ends(c); a.told && (a.control == nil || a.control.waits()) {
+		if a.told = a.told || end && a.ends(c, r); a.told && (a.control == nil || a.control.waits()) {
 			// Danger: a DELETE on its way could overtake the next POST of the same query. It is waited for.
 			a.finish(a.reason)
 			return
@@ -171,7 +171,7 @@
 		a.settled()
 	case r.status == 202:
 		a.known = true
-	case end && a.ended.Result == nil:
+	case end && a.ends(c, r) && a.ended.Result == nil:
 		if a.call != nil {
 			a.call.drop()
 		}
@@ -205,13 +205,13 @@
 		if known {
 			a.f.Watcher.Noted(a.ID, a.Engine, a.Number, kind, r.figure)
 		}
+	case (r.status == 200 || r.status/100 == 5) && !a.ends(c, r): // of a time before the POST came, or of an attempt before
+		a.askIn(retryPause)
 	case r.status == 200 && r.pages > 0 && r.pages <= mostPages && rows(r.body, r.pages == 1):
 		a.ended.Took = a.f.Now() - a.sent // the pages' way is ours and says nothing of the worker group
 		a.ended.Work, a.ended.Mem = r.work, r.peak
 		a.ended.Result = &result.Set{Pages: make([][]byte, r.pages)}
 		a.page(0, r)
-	case r.status/100 == 5 && !a.ends(c): // it may speak of a time before the POST came, or of an attempt before
-		a.askIn(retryPause)
 	case r.status == 503 && r.noEffect:
 		a.finish(link.Full)
 	case r.status == 504 && r.noEffect:
--- a/internal/rest/fleet.go
+++ b/internal/rest/fleet.go
@@ -23,7 +23,7 @@
 	unaskedSlack = 350.0  // for the way there, and for the last answer that it held back
 	retryPause   = 150.0  // between two tries to reach a silent worker group
 	quickPause   = 20.0   // before asking again after a broken connection
-	extraWithin  = 4.0    // after a good answer, for bytes behind it to come before the connection is used again
+	extraWithin  = 4.0    // after an answer that ends something, for bytes behind it to come before the connection is used again
 	refusedPause = 50.0   // after a refused connection, before another one is asked for
 	sendApart    = 30.0   // between a POST and the DELETE of its query on another connection, which must not overtake it
 	keptMost     = 100e3  // for which a silent connection is kept, as TCP has to keep one at least (RFC 1122, 4.2.3.5)
--- a/internal/rest/pool.go
+++ b/internal/rest/pool.go
@@ -361,10 +361,10 @@
 		return
 	}
 	w.g.held = nil
-	if r.status == 200 { // danger: a second copy of it may follow, and would be read as the next answer
-		w.rest(extraWithin)
-	} else {
+	if r.status == 202 {
 		w.rest(0)
+	} else { // danger: a second copy of it may follow, and would be read as the next answer: as an end, as a DELETE's
+		w.rest(extraWithin)
 	}
 }
 
--- a/internal/rest/proof.go
+++ b/internal/rest/proof.go
@@ -13,7 +13,8 @@
 //
 // Then one of these ends the attempt:
 //   - answered: the answer to its POST is an end, or that to a call for the news which was written after the POST was fixed
-//     (before, it may speak of an attempt not yet there): a good end, an error, turned away, or not known;
+//     (before, it may speak of a time before the POST, or of an attempt before; only the good end of a request's first
+//     attempt can't): a good end, an error, turned away, or not known;
 //   - deleted: a DELETE written after the POST was fixed is answered with 204;
 //   - replaced: another process listens at the address;
 //   - dropped: no call that keeps the query alive can still come, and the last one came unasked ms ago.
@@ -79,7 +80,9 @@
 func (a *attempt) fixed() bool { return a.known || a.post.settled }
 
 // ends tells whether the answer to a call, an end by its form, is the end of this attempt.
-func (a *attempt) ends(c *call) bool { return c == a.post || c.after }
+func (a *attempt) ends(c *call, r *reply) bool {
+	return c == a.post || c.after || r.status == 200 && a.Number == 0
+}
 
 // watch has the attempt end once its query must have been dropped, as nobody can ask for it any more.
 func (a *attempt) watch() {
