--- a/internal/rest/pool.go
+++ b/internal/rest/pool.go
@@ -315,6 +315,7 @@
 	w.g.dialing--
 	w.c = c
 	w.rest(0)
+	w.g.reached()
 }
 
 // Received takes a part of an answer.
--- a/internal/rest/proof.go
+++ b/internal/rest/proof.go
@@ -1,6 +1,9 @@
 package rest
 
-import "slices"
+import (
+	"maps"
+	"slices"
+)
 
 // What proves that an attempt is over, in one place. A request has one attempt out, and the requests of a key run one at
 // a time: both rest on the word Ended, which is told of an attempt that was written only once one of these holds.
@@ -76,6 +79,17 @@
 	}
 }
 
+// reached comes as a connection is up: attempts whose DELETE came to nothing try again at once, not after their pause.
+func (g *group) reached() {
+	for _, id := range slices.Sorted(maps.Keys(g.queries)) {
+		for _, a := range g.queries[id].attempts {
+			if a.tries > 0 && a.control == nil {
+				a.f.Deadlines.Set(&a.again, a.f.Now())
+			}
+		}
+	}
+}
+
 // fixed tells whether the POST has come, or never will.
 func (a *attempt) fixed() bool { return a.known || a.post.settled }
 
