Keep an attempt out until the last page of its result is read, and rest its key where a page is lost

Its end was good at about 8.7 s and the zone was cut off before all pages were read: the worker group gave the query up 2 s later, and rest took the lost page for an error that rests no key. attempt.fetch finished with Failed or Broken and giveUp finished at once where pages were coming; neither is proof. Pages count as calls that keep the query alive now.

--- a/internal/node/order_test.go
+++ b/internal/node/order_test.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"maps"
 	"math/rand"
+	"slices"
 	"strings"
 	"testing"
 
@@ -35,20 +37,20 @@
 
 // island is a worker group.
 type island struct {
-	s          *sea
-	id, addr   string
-	from, to   float64 // of its cut
-	drains     bool
-	down       bool
-	conns      map[*strait]bool
-	queries    map[string]*voyage
-	ends       map[string]string // what a call for the news of an ended query is told
-	generation int
+	s        *sea
+	id, addr string
+	from, to float64 // of its cut
+	drains   bool
+	down     bool
+	conns    []*strait
+	queries  map[string]*voyage
+	ends     map[string]string // what a call for the news of an ended query is told
 }
 
-// voyage is a query that runs.
+// voyage is a query that runs, or whose second page is not read yet.
 type voyage struct {
 	asked float64
+	ended bool
 	held  []func(answer string)
 	owed  int // answers on their way
 }
@@ -88,7 +90,7 @@
 			s.at(1, func() { h.Closed(link.Refused) })
 		default:
 			c := &strait{e: e, h: h}
-			e.conns[c] = true
+			e.conns = append(e.conns, c)
 			s.at(1, func() { h.Opened(c) })
 		}
 		return
@@ -126,7 +128,7 @@
 		return
 	}
 	c.theirs = true
-	delete(c.e.conns, c)
+	c.e.conns = slices.DeleteFunc(c.e.conns, func(x *strait) bool { return x == c })
 	c.e.s.at(c.arrive(&c.back), func() {
 		if !c.ours {
 			c.ours = true
@@ -221,7 +223,11 @@
 		e.begin(id)
 		e.poll(c, id)
 	case "GET":
-		e.poll(c, id)
+		if strings.HasSuffix(line[1], "/1") {
+			e.page(c, id)
+		} else {
+			e.poll(c, id)
+		}
 	case "DELETE":
 		e.over(id, unknown, true)
 		e.answer(c, "HTTP/1.1 204 -\r\n\r\n", nil)
@@ -248,11 +254,19 @@
 	e.queries[id] = v
 	delete(e.ends, id)
 	end := "HTTP/1.1 200 OK\r\nPage-Count: 1\r\nWork-Ms: 5\r\nPeak-Mb: 8\r\nContent-Length: 6\r\n\r\na\tb\tc\n"
-	if s.rand.Intn(10) == 0 {
-		end = unknown
-	}
+	two := strings.Replace(end, "Page-Count: 1", "Page-Count: 2", 1)
+	roll := s.rand.Intn(10)
 	s.at(20+s.rand.ExpFloat64()*800, func() {
-		if e.queries[id] == v {
+		switch {
+		case e.queries[id] != v:
+		case roll == 0:
+			e.over(id, unknown, false)
+		case roll < 4:
+			v.ended, e.ends[id] = true, two
+			for _, f := range v.held {
+				f(two)
+			}
+		default:
 			e.over(id, end, false)
 		}
 	})
@@ -286,10 +300,25 @@
 	}
 }
 
+// page gives the second page of a result; then the query is over.
+func (e *island) page(c *strait, id string) {
+	v := e.queries[id]
+	if v == nil || !v.ended {
+		e.answer(c, unknown, nil)
+		return
+	}
+	v.asked = e.s.now
+	e.over(id, e.ends[id], false)
+	e.answer(c, "HTTP/1.1 200 OK\r\nPage-No: 1\r\nContent-Length: 6\r\n\r\nd\te\tf\n", nil)
+}
+
 // poll tells the news of a query: its end, or after 250 ms that it runs.
 func (e *island) poll(c *strait, id string) {
 	s, v := e.s, e.queries[id]
-	if v == nil {
+	if v != nil && v.ended {
+		v.asked = s.now
+	}
+	if v == nil || v.ended {
 		end := e.ends[id]
 		if end == "" {
 			end = unknown
@@ -330,16 +359,16 @@
 		s.at(s.rand.Float64()*3000, func() { e.list(choice.Draining) })
 		s.at(3000+s.rand.Float64()*3000, func() { e.drains = false; e.list(choice.Healthy) })
 	case 3: // its process dies, and another one comes
-		for c := range e.conns {
+		for _, c := range slices.Clone(e.conns) {
 			c.end(link.Broken)
 		}
-		for id := range e.queries {
+		for _, id := range slices.Sorted(maps.Keys(e.queries)) {
 			e.over(id, unknown, true)
 		}
 		e.ends, e.down = map[string]string{}, true
 		s.at(100+s.rand.Float64()*2000, func() { e.down = false })
 	case 4: // all its connections are reset, and it runs on
-		for c := range e.conns {
+		for _, c := range slices.Clone(e.conns) {
 			c.end(link.Broken)
 		}
 	}
@@ -360,8 +389,7 @@
 		t.Fatal(err)
 	}
 	for i := range 4 {
-		e := &island{s: s, id: fmt.Sprintf("s-toy%d", i+1), addr: fmt.Sprintf("127.0.0.1:%d", 4101+i), conns: map[*strait]bool{},
-			queries: map[string]*voyage{}, ends: map[string]string{}}
+		e := &island{s: s, id: fmt.Sprintf("s-toy%d", i+1), addr: fmt.Sprintf("127.0.0.1:%d", 4101+i), queries: map[string]*voyage{}, ends: map[string]string{}}
 		s.engines = append(s.engines, e)
 		w.at(0, func() { e.list(choice.Healthy) })
 		for at := 500.0; at < 30000; at += 500 + w.rand.Float64()*8000 {
@@ -371,7 +399,13 @@
 		}
 	}
 	lost := s.engines[3]
-	w.at(25000, func() { lost.from, lost.to = w.now, w.now+1e9 }) // silent for good
+	w.at(25000, func() { lost.from, lost.to = w.now, w.now+1e9 }) // silent for good; what runs there ends some time
+	w.at(85000, func() {
+		lost.down = true
+		for _, id := range slices.Sorted(maps.Keys(lost.queries)) {
+			lost.over(id, unknown, true)
+		}
+	})
 	const count = 150
 	answers = make([]float64, count)
 	for i := range count {
--- a/internal/rest/attempt.go
+++ b/internal/rest/attempt.go
@@ -130,9 +130,13 @@
 	c := &call{within: pollWithin}
 	c.build = func() []byte {
 		c.after = a.fixed()
+		logs.Trace("ask", a.ID, "engine", a.Engine, "fixed", c.after)
 		return a.get(0)
 	}
 	c.done = func(r *reply, e link.End) {
+		if r == nil {
+			logs.Trace("ask-broke", a.ID, "engine", a.Engine, "end", e)
+		}
 		switch {
 		case r != nil:
 			a.news(c, r)
@@ -158,7 +162,7 @@
 // late takes an answer that came after its call was taken for silent, or after the attempt was given up.
 func (a *attempt) late(c *call, r *reply) {
 	logs.Trace("late", a.ID, "engine", a.Engine, "status", r.status, "after", a.f.Now()-c.wrote, "own", c == a.post, "fixed", c.after)
-	end := r.status == 200 || r.status/100 == 5
+	end := r.status == 200 && r.pages == 1 || r.status/100 == 5
 	switch {
 	case a.over:
 	case a.cancelled:
@@ -171,7 +175,7 @@
 		a.settled()
 	case r.status == 202:
 		a.known = true
-	case end && a.ends(c, r) && a.ended.Result == nil:
+	case (end || r.pages > 1) && a.ends(c, r) && a.ended.Result == nil:
 		if a.call != nil {
 			a.call.drop()
 		}
@@ -194,6 +198,7 @@
 
 // news takes the answer to a POST or to a call for page 0.
 func (a *attempt) news(c *call, r *reply) {
+	logs.Trace("news", a.ID, "engine", a.Engine, "status", r.status, "pages", r.pages, "own", c == a.post)
 	if r.report != (choice.Report{}) {
 		a.ended.Report = r.report
 	}
@@ -238,7 +243,7 @@
 	a.askIn(quickPause)
 }
 
-// page takes a page that can be used and asks for the next. Nothing goes to the client before all are here: what
+// page takes a page that can be used and asks for the next. The attempt is out until the last one is read. Nothing goes to the client before all are here: what
 // can't be finished may then still be tried elsewhere.
 func (a *attempt) page(n int, r *reply) {
 	a.ended.Result.Pages[n] = r.body
@@ -257,13 +262,16 @@
 func (a *attempt) fetch(n int) {
 	again := func(e link.End) {
 		if a.spoilt++; a.spoilt > mostSpoilt {
-			a.finish(e)
+			a.giveUp(e)
 			return
 		}
+		a.call = nil
 		a.again.Do = func() { a.fetch(n) }
 		a.f.Deadlines.Set(&a.again, a.f.Now()+quickPause)
+		a.watch()
 	}
-	a.start(&call{build: func() []byte { return a.get(n) }, within: callWithin, done: func(r *reply, e link.End) {
+	a.inquire(&call{build: func() []byte { return a.get(n) }, within: callWithin, done: func(r *reply, e link.End) {
+		logs.Trace("page", a.ID, "engine", a.Engine, "page", n, "answered", r != nil, "end", e)
 		switch {
 		case e == link.Refused && a.g.replaced():
 			a.finish(link.Died)
@@ -271,8 +279,8 @@
 			again(link.Broken)
 		case r.status == 200 && r.page == n && rows(r.body, false):
 			a.page(n, r)
-		case r.status/100 == 5: // the page is lost
-			a.finish(link.Failed)
+		case r.status/100 == 5: // the page is lost: nobody had asked for it, or its process died
+			a.finish(link.Lost)
 		default:
 			a.f.Faults.Add("engine-spoilt", "engine", a.Engine, "what", "page", "status", r.status, "bytes", len(r.body))
 			a.g.spoil()
@@ -306,7 +314,7 @@
 		return
 	}
 	a.cancelled, a.reason = true, e
-	if a.postedAt == 0 || a.ended.Result != nil { // it was never written, or has told its end
+	if a.postedAt == 0 { // it was never written
 		a.finish(e)
 		return
 	}
