--- a/internal/rest/attempt.go
+++ b/internal/rest/attempt.go
@@ -162,7 +162,7 @@
 // late takes an answer that came after its call was taken for silent, or after the attempt was given up.
 func (a *attempt) late(c *call, r *reply) {
 	logs.Trace("late", a.ID, "engine", a.Engine, "status", r.status, "after", a.f.Now()-c.wrote, "own", c == a.post, "fixed", c.after)
-	end := r.status == 200 && r.pages == 1 || r.status/100 == 5
+	end := r.ends() || r.good() && r.pages == 1
 	switch {
 	case a.over:
 	case a.cancelled:
@@ -175,7 +175,7 @@
 		a.settled()
 	case r.status == 202:
 		a.known = true
-	case (end || r.pages > 1) && a.ends(c, r) && a.ended.Result == nil:
+	case (r.ends() || r.good()) && a.ends(c, r) && a.ended.Result == nil:
 		if a.call != nil {
 			a.call.drop()
 		}
@@ -210,27 +210,35 @@
 		if known {
 			a.f.Watcher.Noted(a.ID, a.Engine, a.Number, kind, r.figure)
 		}
-	case (r.status == 200 || r.status/100 == 5) && !a.ends(c, r): // of a time before the POST came, or of an attempt before
+	case !a.ends(c, r) && (r.good() || r.ends()): // of a time before the POST came, or of an attempt before
 		a.askIn(retryPause)
-	case r.status == 200 && r.pages > 0 && r.pages <= mostPages && rows(r.body, r.pages == 1):
+	case r.good():
 		a.ended.Took = a.f.Now() - a.sent // the pages' way is ours and says nothing of the worker group
 		a.ended.Work, a.ended.Mem = r.work, r.peak
 		a.ended.Result = &result.Set{Pages: make([][]byte, r.pages)}
 		a.page(0, r)
-	case r.status == 503 && r.noEffect:
+	case r.ends() && r.status == 503:
 		a.finish(link.Full)
-	case r.status == 504 && r.noEffect:
+	case r.ends() && r.status == 504:
 		a.finish(link.Over)
-	case r.status == 500 && c != a.post && a.f.Now() > a.aliveAt+unasked-unaskedSlack:
+	case r.ends() && a.f.Now() > a.alive(c)+unasked-unaskedSlack:
 		// Danger: it may be an error, or the query is not known any more: dropped, or lost with its process, a moment ago.
 		a.finish(link.Lost)
-	case r.status/100 == 5:
+	case r.ends():
 		a.finish(link.Failed)
 	default:
 		a.askAnew("result", r)
 	}
 }
 
+// alive is when the query was known to run last, by what its connections told without a gap.
+func (a *attempt) alive(c *call) float64 {
+	if c == a.post {
+		return c.wrote
+	}
+	return a.aliveAt
+}
+
 // askAnew asks for the news again, as what came is spoilt: the query has run, and its worker group gives the answer
 // again. Danger: a new attempt would run it twice, and this one might still be out.
 func (a *attempt) askAnew(what string, r *reply) {
@@ -279,7 +287,7 @@
 			again(link.Broken)
 		case r.status == 200 && r.page == n && rows(r.body, false):
 			a.page(n, r)
-		case r.status/100 == 5: // the page is lost: nobody had asked for it, or its process died
+		case r.ends(): // the page is lost: nobody had asked for it, or its process died
 			a.finish(link.Lost)
 		default:
 			a.f.Faults.Add("engine-spoilt", "engine", a.Engine, "what", "page", "status", r.status, "bytes", len(r.body))
--- a/internal/rest/proof.go
+++ b/internal/rest/proof.go
@@ -95,7 +95,7 @@
 
 // ends tells whether the answer to a call, an end by its form, is the end of this attempt.
 func (a *attempt) ends(c *call, r *reply) bool {
-	return c == a.post || c.after || r.status == 200 && a.Number == 0
+	return c == a.post || c.after || r.good() && a.Number == 0
 }
 
 // watch has the attempt end once its query must have been dropped, as nobody can ask for it any more.
--- a/internal/rest/reply.go
+++ b/internal/rest/reply.go
@@ -34,6 +34,16 @@
 	body     []byte
 }
 
+// good tells of a good end, whose further pages may still have to be read.
+func (r *reply) good() bool {
+	return r.status == 200 && r.pages > 0 && r.pages <= mostPages && rows(r.body, r.pages == 1)
+}
+
+// ends tells of an error, of a query turned away or of one that is not known; of no other status does the protocol know.
+func (r *reply) ends() bool {
+	return r.status == 500 || r.noEffect && (r.status == 503 || r.status == 504)
+}
+
 // parser takes the bytes of a connection as they come and gives whole answers.
 type parser struct {
 	buf     []byte
