Take no note for a sign that a query ran on: worker groups hand out those of dropped ones too

The 202 were notes kept for a query that had been dropped 2 s after its last call; news() counted them as signs of life and the 500 as an error, which rests no key. Only an empty 202 is one now.

--- a/internal/node/order_test.go
+++ b/internal/node/order_test.go
@@ -44,6 +44,7 @@
 	down     bool
 	conns    []*strait
 	queries  map[string]*voyage
+	notes    map[string]int    // of queries that are over: handed out ahead of their ends
 	ends     map[string]string // what a call for the news of an ended query is told
 }
 
@@ -51,6 +52,7 @@
 type voyage struct {
 	asked float64
 	ended bool
+	notes int // that were not handed out yet
 	held  []func(answer string)
 	owed  int // answers on their way
 }
@@ -253,6 +255,15 @@
 	v := &voyage{asked: s.now}
 	e.queries[id] = v
 	delete(e.ends, id)
+	delete(e.notes, id)
+	var note func()
+	note = func() {
+		if e.queries[id] == v && !v.ended {
+			v.notes++
+			s.at(400, note)
+		}
+	}
+	s.at(400, note)
 	end := "HTTP/1.1 200 OK\r\nPage-Count: 1\r\nWork-Ms: 5\r\nPeak-Mb: 8\r\nContent-Length: 6\r\n\r\na\tb\tc\n"
 	two := strings.Replace(end, "Page-Count: 1", "Page-Count: 2", 1)
 	roll := s.rand.Intn(10)
@@ -292,6 +303,9 @@
 	}
 	delete(e.queries, id)
 	e.ends[id] = end
+	if givenUp {
+		e.notes[id] = v.notes
+	}
 	if key := e.s.keyOf[id]; givenUp && key != "" {
 		e.s.rest[key] = resting{e.s.now, e.s.seq[id]}
 	}
@@ -315,6 +329,16 @@
 // poll tells the news of a query: its end, or after 250 ms that it runs.
 func (e *island) poll(c *strait, id string) {
 	s, v := e.s, e.queries[id]
+	if v != nil && v.notes > 0 || e.notes[id] > 0 {
+		if v != nil {
+			v.asked = s.now
+			v.notes--
+		} else {
+			e.notes[id]--
+		}
+		e.answer(c, "HTTP/1.1 202 -\r\nX-Tell: advance\r\nFigure: 0.5\r\nContent-Length: 0\r\n\r\n", nil)
+		return
+	}
 	if v != nil && v.ended {
 		v.asked = s.now
 	}
@@ -365,7 +389,7 @@
 		for _, id := range slices.Sorted(maps.Keys(e.queries)) {
 			e.over(id, unknown, true)
 		}
-		e.ends, e.down = map[string]string{}, true
+		e.ends, e.notes, e.down = map[string]string{}, map[string]int{}, true
 		s.at(100+s.rand.Float64()*2000, func() { e.down = false })
 	case 4: // all its connections are reset, and it runs on
 		for _, c := range slices.Clone(e.conns) {
@@ -389,7 +413,7 @@
 		t.Fatal(err)
 	}
 	for i := range 4 {
-		e := &island{s: s, id: fmt.Sprintf("s-toy%d", i+1), addr: fmt.Sprintf("127.0.0.1:%d", 4101+i), queries: map[string]*voyage{}, ends: map[string]string{}}
+		e := &island{s: s, id: fmt.Sprintf("s-toy%d", i+1), addr: fmt.Sprintf("127.0.0.1:%d", 4101+i), queries: map[string]*voyage{}, ends: map[string]string{}, notes: map[string]int{}}
 		s.engines = append(s.engines, e)
 		w.at(0, func() { e.list(choice.Healthy) })
 		for at := 500.0; at < 30000; at += 500 + w.rand.Float64()*8000 {
--- a/internal/rest/attempt.go
+++ b/internal/rest/attempt.go
@@ -25,7 +25,7 @@
 	post      *call
 	postedAt  float64 // when the POST was written; 0: it was not
 	known     bool    // the worker group has shown that it has the query
-	aliveAt   float64 // when the last call was written that found the query running; 0: a call has failed since
+	aliveAt   float64 // when the query is known to have run last, as calls were answered without a gap since; 0: there was one
 	spoilt    int     // answers in a row that can't be used
 	call      *call   // the call under way
 	control   *call   // the DELETE
@@ -95,6 +95,7 @@
 		return nil
 	}
 	a.postedAt = a.f.Now()
+	a.aliveAt = a.postedAt
 	logs.Trace("post", a.ID, "engine", a.Engine, "addr", a.g.Addr, "left", left, "waited", a.postedAt-a.sent)
 	h := []string{"X-Hop-Id", a.ID, "X-Sort", a.Class, "X-Budget", strconv.Itoa(int(left))}
 	if a.Idem != "" {
@@ -204,8 +205,12 @@
 	}
 	switch {
 	case r.status == 202:
-		a.known, a.spoilt, a.aliveAt = true, 0, c.wrote
+		a.known, a.spoilt = true, 0
 		kind, known := notes[r.tell]
+		// Danger: a worker group hands out the notes that it has kept, also those of a query that it has dropped since.
+		if r.tell == "" {
+			a.aliveAt = c.wrote
+		}
 		a.ask()
 		if known {
 			a.f.Watcher.Noted(a.ID, a.Engine, a.Number, kind, r.figure)
