--- a/choice/attempts.go
+++ b/choice/attempts.go
@@ -82,6 +82,7 @@
 	}
 	if q.sends > 0 {
 		f.further.add(f.now, 1)
+		f.settle(q)
 	}
 	rank, grant := f.rank(q), 0.0
 	// Danger: estimates of memory too low by class make queries spill; their extra work then fills the disks.
@@ -167,8 +168,9 @@
 	if o.Result > Rejected && o.Result != OK && q.mayRun == nil {
 		q.mayRun, q.mayRunAt = e, a.sent
 	}
-	if q.key != nil && (o.Result == Timeout || o.Result == Reset || o.Result == Cancelled) {
-		q.key.restUntil = math.Max(q.key.restUntil, f.now+f.s.OrderSettle)
+	if o.Result == Timeout || o.Result == Reset || o.Result == Cancelled {
+		q.unproved = true
+		f.settle(q)
 	}
 	switch {
 	case q.ended || o.Ended:
@@ -182,6 +184,14 @@
 	}
 }
 
+// settle rests the key of a request whose attempt ended with no proof. Danger: nobody else knows that it is taken
+// for over before the next one goes, or the final answer: the rest counts from then.
+func (f *Front) settle(q *request) {
+	if q.key != nil && q.unproved {
+		q.key.restUntil = math.Max(q.key.restUntil, f.now+f.s.OrderSettle)
+	}
+}
+
 // move cancels an attempt so that its request can go elsewhere, where class, ration and our own bound on such
 // moves allow it.
 func (f *Front) move(a *attempt) {
@@ -207,6 +217,7 @@
 
 // giveUp gives the final answer at once: a refusal with advice where a new try does no harm, else a failure.
 func (f *Front) giveUp(q *request) {
+	f.settle(q)
 	unrun := q.mayRun == nil && len(q.out) == 0
 	if !f.poison(q) && (unrun || q.effect == Safe || q.effect == Keyed && q.c.Group == GroupAll) {
 		// The advice is spread by lot: those refused at once must not all be back at once.
--- a/choice/state.go
+++ b/choice/state.go
@@ -129,6 +129,7 @@
 	held           float64 // since when, or -1
 	waiting, ended bool
 	rejected       bool
+	unproved       bool // an attempt ended with no proof that it runs no more
 	late           bool // it waits though it can no longer meet its aim
 	sends, moved   int
 	probedAt       float64
--- a/internal/rest/pool.go
+++ b/internal/rest/pool.go
@@ -7,6 +7,7 @@
 	"thymeway/internal/deadline"
 	"thymeway/internal/directory"
 	"thymeway/internal/link"
+	"thymeway/internal/logs"
 )
 
 // call is one call to a worker group. done comes once, unless the call is dropped.
@@ -400,12 +401,22 @@
 // Closed comes when the connection ends by itself, or did not come up.
 func (w *wire) Closed(e link.End) {
 	if w.c != nil {
+		late := slices.Contains(w.g.kept, w)
 		w.unidle()
 		w.gone()
-		if w.call != nil {
-			w.call.settle()
+		c := w.call
+		if c != nil && c.asks != nil {
+			logs.Trace("closed-under", c.asks.id, "engine", w.g.ID, "end", e, "after", w.g.f.Now()-c.wrote)
+			if !late {
+				c.settle()
+			}
 		}
 		w.end(e)
+		if late {
+			// Danger: a cut that ends may reset a connection ahead of what was held up on the way.
+			c.timer.Do = c.settle
+			w.g.f.Deadlines.Set(&c.timer, w.g.f.Now()+w.g.f.ConnectTimeout)
+		}
 		return
 	}
 	g := w.g
--- a/internal/rest/proof.go
+++ b/internal/rest/proof.go
@@ -10,7 +10,8 @@
 //
 // Its POST first has to be fixed: it has come, or it never will. That is so once
 //   - it was answered, or a call for the news of the query found it running;
-//   - its connection was ended by the other side: what was not read by then never is;
+//   - its connection was ended by the other side: what was not read by then never is. Where it had been silent, what was held
+//     up on the way may come behind that end, for as long as a connection may take to come up (connectTimeoutMs);
 //   - its connection was given up by ours, and all that the network can hold of it is too old;
 //   - another process listens at the address, by the list.
 //
