Delete a query that is not known any more before its attempt ends, so both sides agree on when

So a 500 that says no more than that a query is not known, and a lost page, give the attempt up now: it ends when the DELETE is answered, and rests the key as lost. A DELETE without an answer may end the next attempt there late: an error behind one rests the key too.

--- a/internal/rest/attempt.go
+++ b/internal/rest/attempt.go
@@ -226,9 +226,10 @@
 		a.finish(link.Full)
 	case r.ends() && r.status == 504:
 		a.finish(link.Over)
-	case r.ends() && a.f.Now() > a.alive(c)+unasked-unaskedSlack:
+	case r.ends() && (a.f.Now() > a.alive(c)+unasked-unaskedSlack || a.query.stray.Waits()):
 		// Danger: it may be an error, or the query is not known any more: dropped, or lost with its process, a moment ago.
-		a.finish(link.Lost)
+		// Its worker group is told that it is given up, so that both sides take it for over from then.
+		a.giveUp(link.Lost)
 	case r.ends():
 		a.finish(link.Failed)
 	default:
@@ -275,7 +276,8 @@
 func (a *attempt) fetch(n int) {
 	again := func(e link.End) {
 		if a.spoilt++; a.spoilt > mostSpoilt {
-			a.giveUp(e)
+			logs.Trace("page-given-up", a.ID, "engine", a.Engine, "end", e)
+			a.giveUp(link.Lost)
 			return
 		}
 		a.call = nil
@@ -293,7 +295,7 @@
 		case r.status == 200 && r.page == n && rows(r.body, false):
 			a.page(n, r)
 		case r.ends(): // the page is lost: nobody had asked for it, or its process died
-			a.finish(link.Lost)
+			a.giveUp(link.Lost)
 		default:
 			a.f.Faults.Add("engine-spoilt", "engine", a.Engine, "what", "page", "status", r.status, "bytes", len(r.body))
 			a.g.spoil()
@@ -361,6 +363,9 @@
 	}
 	c.done = func(r *reply, e link.End) {
 		a.control = nil
+		if r == nil && c.wrote > 0 {
+			a.query.strayed()
+		}
 		status := 0
 		if r != nil {
 			status = r.status
