--- a/choice/attempts.go
+++ b/choice/attempts.go
@@ -184,8 +184,8 @@
 	}
 }
 
-// settle rests the key of a request whose attempt ended with no proof. Danger: nobody else knows that it is taken
-// for over before the next one goes, or the final answer: the rest counts from then.
+// settle rests the key of a request whose attempt ended with no proof. Danger: nobody else knows that it is
+// taken for over before the next one goes, or the final answer: the rest counts from then.
 func (f *Front) settle(q *request) {
 	if q.key != nil && q.unproved {
 		q.key.restUntil = math.Max(q.key.restUntil, f.now+f.s.OrderSettle)
