--- a/internal/rest/proof.go
+++ b/internal/rest/proof.go
@@ -20,7 +20,8 @@
 // Then one of these ends the attempt:
 //   - answered: the answer to its POST is an end, or that to a call for the news which was written after the POST was fixed
 //     (before, it may speak of a time before the POST, or of an attempt before; only the good end of a request's first
-//     attempt can't): a good end whose last page is read, an error, turned away, or not known;
+//     attempt can't): a good end whose last page is read, an error, or turned away. Not known, or a page that is lost, may
+//     come of a query dropped just now: it is deleted then, so that both sides take it for over from the same time;
 //   - deleted: a DELETE written after the POST was fixed is answered with 204;
 //   - replaced: another process listens at the address;
 //   - dropped: no call that keeps the query alive can still come, and the last one came unasked ms ago.
