--- a/internal/node/order_test.go
+++ b/internal/node/order_test.go
@@ -63,7 +63,6 @@
 	h              link.Handler
 	ours, theirs   bool // ended by the program, by the worker group
 	there, back    float64
-	undelivered    int
 	aborted, fined bool
 }
 
--- a/internal/rest/attempt.go
+++ b/internal/rest/attempt.go
@@ -257,8 +257,8 @@
 	a.askIn(quickPause)
 }
 
-// page takes a page that can be used and asks for the next. The attempt is out until the last one is read. Nothing goes to the client before all are here: what
-// can't be finished may then still be tried elsewhere.
+// page takes a page that can be used and asks for the next. The attempt is out until the last one is read. Nothing goes to
+// the client before all are here: what can't be finished may then still be tried elsewhere.
 func (a *attempt) page(n int, r *reply) {
 	a.ended.Result.Pages[n] = r.body
 	a.known, a.spoilt = true, 0
