Log and count repeats, reasons for giving up, and steps of the wall clock

Each now has a line (clock-stepped, repeat; why= on refused and failed) and a metric. The module names its reason with Refuse and Fail; nothing is decided by it. TestLeaving now asks for that reason too. go test ./... passes; no decision changed.

--- a/choice/api.go
+++ b/choice/api.go
@@ -169,6 +169,9 @@
 	Cancelled
 )
 
+// MayHaveRun tells whether an attempt that ended so, with no good answer, may have taken effect.
+func (r Result) MayHaveRun() bool { return r > OK }
+
 // Outcome ends an attempt; every Send gets exactly one.
 type Outcome struct {
 	Request string
@@ -265,10 +268,14 @@
 type Refuse struct {
 	Request  string
 	ComeBack float64
+	Reason   Reason
 }
 
 // Fail is a final answer that makes no promise.
-type Fail struct{ Request string }
+type Fail struct {
+	Request string
+	Reason  Reason
+}
 
 // Wake asks for a Timer event at a time.
 type Wake struct {
--- a/choice/attempts.go
+++ b/choice/attempts.go
@@ -165,7 +165,7 @@
 	case Rejected:
 		q.rejected = true
 	}
-	if o.Result > Rejected && o.Result != OK && q.mayRun == nil {
+	if o.Result.MayHaveRun() && q.mayRun == nil {
 		q.mayRun, q.mayRunAt = e, a.sent
 	}
 	if o.Result == Timeout || o.Result == Reset || o.Result == Cancelled {
@@ -176,9 +176,12 @@
 	case q.ended || o.Ended:
 		f.end(q)
 	case len(q.out) > 0: // another attempt is still out
-	case q.mayRun != nil && q.effect == Unsafe, f.poison(q),
-		o.Result == Timeout && f.now >= q.Deadline-f.lastCall:
-		f.giveUp(q)
+	case f.poison(q):
+		f.giveUp(q, ReasonFaulty)
+	case q.mayRun != nil && q.effect == Unsafe:
+		f.giveUp(q, ReasonMayHaveRun)
+	case o.Result == Timeout && f.now >= q.Deadline-f.lastCall:
+		f.giveUp(q, ReasonDeadline)
 	default:
 		f.queue(q)
 	}
@@ -216,7 +219,7 @@
 }
 
 // giveUp gives the final answer at once: a refusal with advice where a new try does no harm, else a failure.
-func (f *Front) giveUp(q *request) {
+func (f *Front) giveUp(q *request, why Reason) {
 	f.settle(q)
 	unrun := q.mayRun == nil && len(q.out) == 0
 	if !f.poison(q) && (unrun || q.effect == Safe || q.effect == Keyed && q.c.Group == GroupAll) {
@@ -225,32 +228,41 @@
 		if !f.s.CanAdvise {
 			advice = 0
 		}
-		f.do(Refuse{q.ID, advice})
+		f.do(Refuse{q.ID, advice, why})
 	} else {
-		f.do(Fail{q.ID})
+		f.do(Fail{q.ID, why})
 	}
 	f.end(q)
 }
 
-// quit calls off what is out of a request, and gives it up or, where it is owed nothing, ends it. Danger:
-// work that no client waits for any more would stay on the engines.
-func (f *Front) quit(q *request, owed bool) {
+// abandon calls off what is out of a request and gives it up.
+func (f *Front) abandon(q *request, why Reason) {
 	if q == nil || q.ended {
 		return
 	}
+	f.cancelAll(q)
+	f.giveUp(q, why)
+}
+
+// gone calls off what is out of a request whose client has left, and ends it: no answer is owed.
+func (f *Front) gone(q *request) {
+	if q == nil || q.ended {
+		return
+	}
+	f.cancelAll(q)
+	f.end(q)
+}
+
+// cancelAll keeps work that no client waits for any more from staying on the engines.
+func (f *Front) cancelAll(q *request) {
 	for _, a := range q.out {
 		f.cancel(a)
 	}
-	if owed {
-		f.giveUp(q)
-	} else {
-		f.end(q)
-	}
 }
 
 // leave gives all open requests up, in the order of their ids: equal events give equal actions.
 func (f *Front) leave() {
 	for _, id := range slices.Sorted(maps.Keys(f.requests)) {
-		f.quit(f.requests[id], true)
+		f.abandon(f.requests[id], ReasonShutdown)
 	}
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -1008,7 +1008,7 @@
 	r := newRig(t, base(), eng("e1"))
 	r.step(1, req("a", "wide", r), req("b", "load", r))
 	acts := r.step(1, Leaving{})
-	if got := fmt.Sprint(acts[:4]); got != "[{a 0} "+fmt.Sprint(acts[1])+" {b 0} {b}]" || len(r.f.waiting) > 0 {
+	if got := fmt.Sprint(acts[:4]); got != "[{a 0} "+fmt.Sprint(acts[1])+" {b 0} {b shutdown}]" || len(r.f.waiting) > 0 {
 		t.Fatalf("got %v", acts)
 	}
 }
--- a/choice/hold.go
+++ b/choice/hold.go
@@ -12,7 +12,7 @@
 // queue puts a request among those waiting: worth per predicted work, then slack, decide who goes next.
 func (f *Front) queue(q *request) {
 	if q.Deadline-f.now < f.lastCall { // danger: a client's next try may come with hardly any time left
-		f.giveUp(q)
+		f.giveUp(q, ReasonDeadline)
 		return
 	}
 	q.density, q.late = q.worth/f.work(q), false
@@ -69,8 +69,12 @@
 
 // decide is the design's path for one waiting request.
 func (f *Front) decide(q *request) {
-	if q.Deadline-f.now < f.lastCall || q.sends >= max(f.s.MaxAttempts, 1) {
-		f.giveUp(q)
+	if q.Deadline-f.now < f.lastCall {
+		f.giveUp(q, ReasonDeadline)
+		return
+	}
+	if q.sends >= max(f.s.MaxAttempts, 1) {
+		f.giveUp(q, ReasonAttempts)
 		return
 	}
 	if f.many && q.sends == 0 && q.probedAt < q.arrived && q.density < f.meanDensity() && f.s.ProbeReports {
@@ -117,7 +121,7 @@
 	}
 	least := math.Min(local.t, fall.t)
 	if f.scarce() && !math.IsInf(least, 1) && !f.earns(q, least) {
-		f.giveUp(q)
+		f.giveUp(q, ReasonPlaces)
 		return
 	}
 	switch {
@@ -152,7 +156,7 @@
 	}
 	late := q.c.LateWorth > 0 && (open.e != nil || !f.scarce()) // late is better than never
 	if !late && f.now+least > q.aimAt || late && f.now+least > q.Deadline {
-		f.giveUp(q)
+		f.giveUp(q, ReasonCapacity)
 	}
 }
 
--- a/choice/room.go
+++ b/choice/room.go
@@ -40,7 +40,7 @@
 		f.cancel(a)
 	case f.scarce() && !f.earns(q, wait):
 		f.cancel(a)
-		f.giveUp(q)
+		f.giveUp(q, ReasonPlaces)
 	}
 }
 
@@ -53,7 +53,7 @@
 		for _, a := range e.out {
 			if q := a.q; !q.ended && q.effect != Unsafe && !f.earns(q, f.now-a.sent) {
 				f.cancel(a)
-				f.giveUp(q)
+				f.giveUp(q, ReasonPlaces)
 			}
 		}
 	}
--- a/choice/state.go
+++ b/choice/state.go
@@ -318,7 +318,7 @@
 // overdue takes word that a request's time is over while its attempts may still run. Danger: where their engine is
 // silent their end may take long to be known: they keep their places in the key's line, but take no room.
 func (f *Front) overdue(q *request) {
-	f.quit(q, true)
+	f.abandon(q, ReasonDeadline)
 	if q != nil {
 		for _, a := range q.out {
 			f.release(a)
--- a/choice/step.go
+++ b/choice/step.go
@@ -18,7 +18,7 @@
 		case Overdue: // the client has its answer now; the attempt keeps its place in its key's line
 			f.overdue(f.requests[ev.Request])
 		case Gone:
-			f.quit(f.requests[ev.Request], false)
+			f.gone(f.requests[ev.Request])
 		case Timer:
 			if f.wakeAt <= now+1 { // danger: a clock rounded down must not leave us without a timer
 				f.wakeAt = math.Inf(1)
--- a/cmd/thymeway/main.go
+++ b/cmd/thymeway/main.go
@@ -17,6 +17,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"thymeway/internal/clock"
 	"thymeway/internal/config"
 	"thymeway/internal/deadline"
 	"thymeway/internal/logs"
@@ -154,7 +155,8 @@
 		return err
 	}
 	loop.Accept = n.Accept
-	loop.Turn = n.Coordinator.Turn
+	n.Clock = clock.NewMonitor()
+	loop.Turn = n.Turn
 	loop.Ready = func() {
 		slog.Info("ready", "name", c.Name, "listen", strings.Join(n.Listen(), ","), "classes", len(c.Choice.Classes), "rss_kb", memory(os.Getpid(), "VmRSS"))
 		n.Watch.Start()
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -105,6 +105,11 @@
 	sends int
 	out   int
 	ended bool
+
+	sentAt     float64  // when the latest attempt was sent
+	lastEnd    link.End // of the latest attempt that has ended
+	mayHaveRun bool     // an attempt has ended without proof that it never ran
+	mayRunAt   float64  // when the first such attempt was sent
 }
 
 // Coordinator holds the module's front and what it has in hand. All calls come from the event loop.
@@ -123,6 +128,8 @@
 	roles     map[string]shape.Role
 	doubted   [shape.Doubts]uint64
 	Accounts  account.Book
+	Repeats   account.Reasons // further attempts, by how the attempt before ended
+	GivenUp   account.Reasons // requests refused or failed, by why
 	watch     *watch
 	toldAt    float64
 }
@@ -303,6 +310,7 @@
 		return
 	}
 	q.out--
+	q.note(o.End)
 	logs.Trace("ended", o.Request, "attempt", o.Attempt, "engine", o.Engine, "end", o.End, "took", o.Took, "answered", q.ended)
 	if o.End == link.Served {
 		c.read.Shapes.Learn(q.Shape, q.told, o.Work, o.Mem)
@@ -374,13 +382,15 @@
 		c.engines.Cancel(a.Request, a.Attempt)
 	case choice.Refuse:
 		if q := c.requests[a.Request]; q != nil && !q.ended {
-			logs.Trace("refused", a.Request, "sends", q.sends)
+			logs.Trace("refused", a.Request, "sends", q.sends, "why", a.Reason)
+			c.GivenUp.Add(q.Class, a.Reason.String())
 			c.end(q, account.Refused, 0)
 			q.Client.Refuse(a.ComeBack)
 		}
 	case choice.Fail:
 		if q := c.requests[a.Request]; q != nil && !q.ended {
-			logs.Trace("failed", a.Request, "sends", q.sends)
+			logs.Trace("failed", a.Request, "sends", q.sends, "why", a.Reason)
+			c.GivenUp.Add(q.Class, a.Reason.String())
 			c.end(q, account.Failed, 0)
 			q.Client.Fail(q.why)
 		}
@@ -405,6 +415,10 @@
 	q.sends++
 	q.out++
 	q.count.Sends++
+	if n > 0 {
+		c.repeat(q, a.Engine, n)
+	}
+	q.sentAt = c.now()
 	logs.Trace("send", a.Request, "attempt", n, "engine", a.Engine)
 	until := q.Deadline
 	if t := c.now() + a.Timeout; a.Timeout > 0 && t < until {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"thymeway/internal/account"
+	"thymeway/internal/clock"
 	"thymeway/internal/shape"
 	"thymeway/internal/surge"
 )
@@ -25,6 +26,9 @@
 	Out      int                    // attempts that may run
 	Clients  int                    // connections of clients
 	Surges   map[string]surge.State // by member; all under ""
+	Repeats  []account.ReasonRow    // further attempts, by how the attempt before ended
+	GivenUp  []account.ReasonRow    // requests refused or failed, by why
+	Clock    clock.State
 }
 
 const (
@@ -61,6 +65,10 @@
 	evicted  = desc("shape_evictions_total", "Shapes forgotten for room.")
 	bytes    = desc("shape_bytes", "Memory that remembered shapes take.")
 	shapes   = desc("shapes", "Shapes remembered.")
+	further  = desc("further_attempts_total", "Attempts past a request's first, by how the one before ended.", "class", "after")
+	givenUp  = desc("given_up_total", "Requests refused or failed, by why.", "class", "why")
+	steps    = desc("clock_steps_total", "Steps of the machine's wall clock that were seen.")
+	offset   = desc("clock_offset_seconds", "By how much the wall clock was stepped in sum since the start.")
 	failed   = desc("scrape_failed", "1 where the event loop did not answer in time.")
 )
 
@@ -108,6 +116,14 @@
 	for t, st := range s.Surges {
 		ch <- prometheus.MustNewConstMetric(surges, prometheus.GaugeValue, float64(st), t)
 	}
+	for _, r := range s.Repeats {
+		count(further, float64(r.Count), r.Class, r.Reason)
+	}
+	for _, r := range s.GivenUp {
+		count(givenUp, float64(r.Count), r.Class, r.Reason)
+	}
+	count(steps, float64(s.Clock.Steps))
+	gauge(offset, s.Clock.Offset/1000)
 	gauge(owed, float64(s.Owed))
 	gauge(out, float64(s.Out))
 	gauge(clients, float64(s.Clients))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,6 +11,7 @@
 	"thymeway/internal/board"
 	"thymeway/internal/chengine"
 	"thymeway/internal/chhttp"
+	"thymeway/internal/clock"
 	"thymeway/internal/config"
 	"thymeway/internal/coordinator"
 	"thymeway/internal/deadline"
@@ -53,6 +54,7 @@
 	Front       *chhttp.Front // nil: no ClickHouse clients are served
 	Watch       *board.Watch
 	Shapes      *shape.Book
+	Clock       *clock.Monitor // nil: the wall clock is not watched
 	seats       *seats.Seats
 	keeper      *snapshot.Keeper // nil: shapes are not kept
 	fleet       *rest.Fleet
@@ -147,10 +149,22 @@
 	n.queue.Set(e, n.now()+every)
 }
 
+// Turn lets the module answer what has come in.
+func (n *Node) Turn() {
+	if n.Clock != nil {
+		n.Clock.Sample()
+	}
+	n.Coordinator.Turn()
+}
+
 // Snapshot is a copy of what is counted, for others than the loop.
 func (n *Node) Snapshot() metrics.Snapshot {
 	s := metrics.Snapshot{Accounts: n.Coordinator.Accounts.Rows(), Shapes: n.Shapes.Stats(), Doubts: map[string]uint64{},
-		Owed: n.Coordinator.Owed(), Out: n.out(), Clients: n.seats.Count()}
+		Owed: n.Coordinator.Owed(), Out: n.out(), Clients: n.seats.Count(),
+		Repeats: n.Coordinator.Repeats.Rows(), GivenUp: n.Coordinator.GivenUp.Rows()}
+	if n.Clock != nil {
+		s.Clock = n.Clock.State()
+	}
 	s.Surges = map[string]surge.State{"": n.Coordinator.Surge("")}
 	for _, t := range n.config.Choice.Tenants {
 		s.Surges[t.Name] = n.Coordinator.Surge(t.Name)
