Measure every span by the monotonic clock, so that no step of the wall clock moves it

Cause: net.Now read the wall clock for every deadline and age. Change: clock.Clock begins as the Unix time of the start and runs on with the monotonic clock; it is the only clock of the loop, the dialer, the module and all handlers, so every deadline and window follows.

--- a/cmd/thymeway/main.go
+++ b/cmd/thymeway/main.go
@@ -147,8 +147,9 @@
 	debug.SetMemoryLimit(int64(c.MemoryMB * memoryShare * (1 << 20)))
 	debug.SetGCPercent(garbage)
 	queue := deadline.New()
-	loop := &net.Loop{Deadlines: queue, ConnectTimeout: c.ConnectTimeout}
-	n, err := node.New(c, loop, queue, net.Now, loop.Wake)
+	now := clock.New().Now
+	loop := &net.Loop{Deadlines: queue, Now: now, ConnectTimeout: c.ConnectTimeout}
+	n, err := node.New(c, loop, queue, now, loop.Wake)
 	if err != nil {
 		return err
 	}
--- a/internal/net/dial.go
+++ b/internal/net/dial.go
@@ -93,7 +93,7 @@
 			c.h.Closed(link.Unreached)
 		}
 	}
-	d.l.Deadlines.Set(&x.timer, Now()+d.l.ConnectTimeout)
+	d.l.Deadlines.Set(&x.timer, d.l.Now()+d.l.ConnectTimeout)
 	return nil
 }
 
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -24,6 +24,7 @@
 type Loop struct {
 	gnet.BuiltinEventEngine
 	Deadlines *deadline.Queue
+	Now       func() float64                  // ms, by the clock of the deadlines
 	Accept    func(listener int) link.Handler // by the number of the address that Run was given
 	Turn      func()
 	Ready     func() // runs once, on the loop, before any event
@@ -44,9 +45,6 @@
 	early   []func() // asked for by Do before the loop is known
 }
 
-// Now is the system's Unix clock in ms, to the microsecond.
-func Now() float64 { return float64(time.Now().UnixMicro()) / 1000 }
-
 // Run serves addresses of the form IP:PORT until Stop.
 func (l *Loop) Run(addrs ...string) error {
 	l.timer = time.NewTimer(time.Hour)
@@ -160,7 +158,7 @@
 		ready()
 	}
 	l.flush()
-	l.Deadlines.Sweep(Now())
+	l.Deadlines.Sweep(l.Now())
 	l.Turn()
 	l.flush()
 	l.arm()
@@ -180,7 +178,7 @@
 // arm sets the timer to the earliest deadline.
 func (l *Loop) arm() {
 	at, ok := l.Deadlines.Next()
-	now := Now()
+	now := l.Now()
 	if !ok || at == l.armed && at > now {
 		return
 	}
--- a/internal/net/loop_test.go
+++ b/internal/net/loop_test.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"thymeway/internal/clock"
 	"thymeway/internal/deadline"
 	"thymeway/internal/link"
 )
@@ -46,7 +47,7 @@
 func TestDial(t *testing.T) {
 	addr, refused := free(t), free(t)
 	up, no := &probe{got: make(chan string, 2)}, &probe{got: make(chan string, 2)}
-	l := &Loop{Deadlines: deadline.New(), ConnectTimeout: 5000, Accept: func(int) link.Handler { return &echo{} }, Turn: func() {}}
+	l := &Loop{Deadlines: deadline.New(), Now: clock.New().Now, ConnectTimeout: 5000, Accept: func(int) link.Handler { return &echo{} }, Turn: func() {}}
 	l.Ready = func() {
 		l.Dial(refused, no)
 		l.Dial(addr, up)
