Judge a worker group's start by discovery's stamps too, not by the wall clock alone

Seen: on a machine whose clock is wrong as the program starts, a worker group that has just started counts as started long ago and is overloaded (rule failback), or as started in the future and is kept idle. Cause: up_since_ms, a Unix time, was compared with this machine's clock. Change: a start counts as no longer ago than both this machine's clock and discovery's own newest stamps tell, and one stamp keeps its time. Stamps over 2 h old by this machine's clock count as old: a step is taken to be under that.

--- a/cmd/thymeway/clock_test.go
+++ b/cmd/thymeway/clock_test.go
@@ -30,10 +30,17 @@
 	discovery *standin.Discovery
 	log       *strings.Builder
 	process   *exec.Cmd
+	asked     int // requests so far
 }
 
-// newSite starts the program in front of worker groups, listed by their addresses; pairs replace parts of the settings.
+// newSite starts the program in front of worker groups, as discovery lists them; pairs replace parts of the settings.
 func newSite(t *testing.T, groups []string, pairs ...string) *site {
+	t.Helper()
+	return newSiteAt(t, 0, groups, pairs...)
+}
+
+// newSiteAt does the same where the wall clock is wrong from the start.
+func newSiteAt(t *testing.T, shift time.Duration, groups []string, pairs ...string) *site {
 	t.Helper()
 	dir := t.TempDir()
 	clock, err := wallclock.New(dir)
@@ -42,6 +49,7 @@
 	}
 	t.Cleanup(func() { _ = clock.Close() })
 	s := &site{t: t, addr: free(t), clock: clock, discovery: &standin.Discovery{}, log: &strings.Builder{}}
+	s.shift(shift)
 	board, err := s.discovery.Start(1)
 	if err != nil {
 		t.Fatal(err)
@@ -114,9 +122,11 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	text := fmt.Sprintf("/* verb=%s,txn=9b1f03aa5c7e2d41,limit=%d,team=acme,unique=u1,item=k1 */ INSERT INTO sales_17.orders SELECT a FROM staging.b", class, limit.Milliseconds())
+	s.asked++
+	text := fmt.Sprintf("/* verb=%s,txn=%016x,limit=%d,team=acme,unique=u%d,item=k1,cpu=1000 */ INSERT INTO sales_17.orders SELECT a FROM staging.b",
+		class, s.asked, limit.Milliseconds(), s.asked)
 	if class == "lookup" {
-		text = fmt.Sprintf("/* verb=lookup,txn=9b1f03aa5c7e2d42,limit=%d,team=acme */ SELECT a FROM sales_17.orders", limit.Milliseconds())
+		text = fmt.Sprintf("/* verb=lookup,txn=%016x,limit=%d,team=acme,cpu=1000 */ SELECT a FROM sales_17.orders", s.asked, limit.Milliseconds())
 	}
 	done, sent := make(chan verdict, 1), time.Now()
 	go func() {
@@ -236,3 +246,33 @@
 		}
 	})
 }
+
+// A worker group that had just started was overloaded, or kept idle, where the wall clock was wrong as the program started.
+func TestColdWorkerGroupIsOverloadedWhenWallClockIsWrong(t *testing.T) {
+	eachStep(t, func(t *testing.T, wrong time.Duration) {
+		const requests = 100
+		g, addr := group(t, nil)
+		s := newSiteAt(t, wrong, []string{strings.Replace(member("s-1", addr), "Ready", "Terminating", 1)}, `"warmAfterMs": 14000`, `"warmAfterMs": 4000`)
+		started := time.Now()
+		s.discovery.Publish(strings.Replace(member("s-2", addr), `"up_since_ms": 0`, fmt.Sprintf(`"up_since_ms": %d`, started.UnixMilli()), 1))
+		answers := make([]<-chan verdict, requests)
+		for i := range answers {
+			answers[i] = s.ask("lookup", 12*time.Second)
+		}
+		// The settings allow 2.5 times 0.34 of what 12 cores do at 85% in 3 s: 26 requests of 1 s of work, and 3 x root of N + 3.
+		const allowed = 26 + 18
+		time.Sleep(time.Until(started.Add(2 * time.Second)))
+		if n := len(g.Queries()); n > allowed {
+			t.Errorf("%d requests in 2 s after its start, %d allowed", n, allowed)
+		}
+		served := 0
+		for _, a := range answers {
+			if v := <-a; s.served(v) {
+				served++
+			}
+		}
+		if served < requests*9/10 {
+			t.Errorf("%d of %d served though it is warm after 4 s", served, requests)
+		}
+	})
+}
--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -43,7 +43,7 @@
 	UpSinceMs float64 `json:"up_since_ms"`
 }
 
-// list makes the module's list of an event. The board's clock is the system's, which is also the module's.
+// list makes the module's list of an event. Starts are still the stamps of the event.
 func (e event) list() (whole bool, out []coordinator.Member, err error) {
 	for _, m := range e.Pool.Members {
 		x := coordinator.Member{Addr: m.HostPort, Engine: choice.Engine{ID: m.ID, Zone: m.Locality, Kind: m.Flavor,
@@ -92,10 +92,11 @@
 	Addr      string
 	Connect   float64 // ms in which a connection has to come up
 
-	rev   int64
-	pause float64
-	cur   *feed
-	timer deadline.Entry
+	rev    int64
+	starts startTimes
+	pause  float64
+	cur    *feed
+	timer  deadline.Entry
 }
 
 // feed is one connection to the board.
@@ -142,10 +143,31 @@
 		return err
 	}
 	w.rev = *e.Rev
+	w.localize(whole, list)
 	w.Listener.List(whole, list)
 	return nil
 }
 
+// localize puts the starts of an event's members on the program's clock.
+func (w *Watch) localize(whole bool, members []coordinator.Member) {
+	now := w.Now()
+	named := map[string]bool{}
+	for _, m := range members {
+		named[m.ID] = true
+		w.starts.hear(m.Started, now)
+	}
+	if whole {
+		w.starts.only(named)
+	}
+	for i := range members {
+		m := &members[i]
+		m.Started = w.starts.local(m.ID, m.Started, now)
+		if m.Status == choice.Removed {
+			w.starts.forget(m.ID)
+		}
+	}
+}
+
 // Move follows the board at another address from now on, with the number last known. The old connection tells
 // nothing more.
 func (w *Watch) Move(addr string) {
