Write no repeat of a keyed request behind its window, however late its connection comes up

Seen in a recorded exchange: with a window of 1,000 ms a repeat is decided on at 850, its connection comes up at 1,080, and it is written then, 80 ms behind the window (the rule allows 50). Cause: the window was checked as the repeat was decided, up to connectTimeoutMs before it is written. Change: a Send names the time after which it must not go out, and both engine sides check it as they make the bytes; the attempt then ends as one that never ran. Attempts whose own time is over as their connection comes up end the same way and no longer count against their engine.

--- a/choice/api.go
+++ b/choice/api.go
@@ -249,6 +249,7 @@
 type Send struct {
 	Request, Engine string
 	Timeout         float64
+	NotAfter        float64 // time after which it must not go out any more; 0: none but its deadline
 }
 
 // Terms sets priority (0 to 3) and memory grant for a request.
--- a/choice/attempts.go
+++ b/choice/attempts.go
@@ -92,7 +92,7 @@
 	if f.s.RanksHeeded && rank != 1 || grant > 0 {
 		f.do(Terms{q.ID, rank, grant})
 	}
-	f.do(Send{q.ID, e.ID, 0})
+	f.do(Send{Request: q.ID, Engine: e.ID, NotAfter: f.windowEnd(q)})
 	a := &attempt{q: q, e: e, n: q.sends, rank: rank, sent: f.now, expect: t, warm: f.warmOn(e, q),
 		light: f.load(e) < lightLoad, scale: f.scale(e, q.c.Threads), base: f.work(q) / q.c.Threads}
 	a.note = a.sent
@@ -111,6 +111,14 @@
 	return true
 }
 
+// windowEnd is until when a request that may have run may be sent again: a connection for it may come up late. 0: no bound.
+func (f *Front) windowEnd(q *request) float64 {
+	if q.mayRun == nil || q.effect != Keyed {
+		return 0
+	}
+	return q.mayRunAt + q.c.Window
+}
+
 // outcome handles the end of an attempt.
 func (f *Front) outcome(o Outcome) {
 	q := f.requests[o.Request]
--- a/internal/chengine/fleet.go
+++ b/internal/chengine/fleet.go
@@ -113,6 +113,7 @@
 	call      *call // the query's own
 	control   *call // a question about it
 	cancelled bool
+	withdrawn bool // it was too late to write it as its connection was there
 	lost      bool // its connection broke: whether it runs is asked
 	over      bool
 	end       link.End // how it ends once it is known not to run
@@ -158,10 +159,10 @@
 
 // build makes the query's request. The engine ends it by itself when its time is over.
 func (a *attempt) build() []byte {
-	left := a.Until - a.f.Now()
-	if left < 1 {
+	if a.withdrawn = a.Expired(a.f.Now()); a.withdrawn {
 		return nil
 	}
+	left := a.Until - a.f.Now()
 	a.written = true
 	v := url.Values{}
 	set := func(name, value string) { v.Set(name, value) }
@@ -222,6 +223,8 @@
 		a.finish(a.end)
 	case r != nil:
 		a.judge(r)
+	case a.withdrawn:
+		a.finish(link.Over)
 	case !a.written && (why == link.Refused || why == link.Crowded):
 		a.finish(why)
 	case !a.written:
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -65,6 +65,13 @@
 	Grant   float64 // MB; 0: the engine's own choice
 	Threads float64 // that its class runs on
 	Until   float64 // when the wait for it ends
+
+	NotAfter float64 // time after which it must not be written any more; 0: none but Until
+}
+
+// Expired tells whether the attempt must not be written any more.
+func (a *Attempt) Expired(now float64) bool {
+	return a.Until-now < 1 || a.NotAfter > 0 && now > a.NotAfter
 }
 
 // Outcome is how an attempt ended.
@@ -424,6 +431,6 @@
 	if t := c.now() + a.Timeout; a.Timeout > 0 && t < until {
 		until = t
 	}
-	c.engines.Send(Attempt{Request: q.Request, Engine: a.Engine, Number: n, Grant: q.grant, Until: until,
+	c.engines.Send(Attempt{Request: q.Request, Engine: a.Engine, Number: n, Grant: q.grant, Until: until, NotAfter: a.NotAfter,
 		Threads: max(c.classes[q.Class].Threads, 1)})
 }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -11,7 +11,7 @@
 const (
 	Served    End = iota // the worker group gave the whole result
 	Full                 // the worker group turned it away, and it never ran
-	Over                 // the worker group found its time over, and it never ran
+	Over                 // its time was over before it ran
 	Failed               // the worker group gave an error
 	Rejected             // it found the query itself at fault before it ran, as any other would
 	Refused              // the other side refused the connection: no process listens
--- a/internal/rest/attempt.go
+++ b/internal/rest/attempt.go
@@ -24,6 +24,7 @@
 	sent      float64
 	post      *call
 	postedAt  float64 // when the POST was written; 0: it was not
+	withdrawn bool    // it was too late to write the POST as its connection was there
 	known     bool    // the worker group has shown that it has the query
 	aliveAt   float64 // when the query is known to have run last, as calls were answered without a gap since; 0: there was one
 	spoilt    int     // answers in a row that can't be used
@@ -90,10 +91,10 @@
 
 // first makes the bytes of the POST. The budget is what is left when it is written, not when it was asked for.
 func (a *attempt) first() []byte {
-	left := math.Floor(a.Until - a.f.Now())
-	if left < 1 {
+	if a.withdrawn = a.Expired(a.f.Now()); a.withdrawn {
 		return nil
 	}
+	left := math.Floor(a.Until - a.f.Now())
 	a.postedAt = a.f.Now()
 	a.aliveAt = a.postedAt
 	logs.Trace("post", a.ID, "engine", a.Engine, "addr", a.g.Addr, "left", left, "waited", a.postedAt-a.sent)
@@ -120,6 +121,8 @@
 	case a.postedAt > 0:
 		logs.Trace("post-broke", a.ID, "engine", a.Engine, "end", e)
 		a.askIn(0)
+	case a.withdrawn:
+		a.finish(link.Over)
 	case e == link.Refused || e == link.Crowded:
 		a.finish(e)
 	default:
