Withdraw queries that still wait for a connection to an engine that is told to drain

Change: both engine sides end such attempts, as never run, once the list says that an engine drains or has gone; they go elsewhere at once.

--- a/internal/chengine/fleet.go
+++ b/internal/chengine/fleet.go
@@ -4,10 +4,12 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -57,11 +59,35 @@
 
 // Know takes an entry of the list.
 func (f *Fleet) Know(m coordinator.Member) {
+	if e, known := f.engines.Get(m.ID); known && m.Status != choice.Healthy {
+		f.withdraw(e)
+	}
 	f.engines.Know(m.ID, m.Addr, m.Status == choice.Removed, func(p directory.Place) *engine { return &engine{f: f, Place: p, kind: m.Kind} })
 }
 
 // Only takes a whole list: engines that it does not name have gone.
-func (f *Fleet) Only(named map[string]bool) { f.engines.Only(named) }
+func (f *Fleet) Only(named map[string]bool) {
+	for _, e := range f.engines.All() {
+		if !named[e.ID] {
+			f.withdraw(e)
+		}
+	}
+	f.engines.Only(named)
+}
+
+// withdraw ends the attempts that still wait for a connection to an engine: it takes nothing new.
+func (f *Fleet) withdraw(e *engine) {
+	var waiting []*attempt
+	for _, a := range f.attempts {
+		if a.e == e && !a.written {
+			waiting = append(waiting, a)
+		}
+	}
+	slices.SortFunc(waiting, func(a, b *attempt) int { return cmp.Compare(a.query, b.query) })
+	for _, a := range waiting {
+		a.finish(link.Over)
+	}
+}
 
 // Out is the number of attempts that may run on some engine.
 func (f *Fleet) Out() int { return len(f.attempts) }
--- a/internal/rest/fleet.go
+++ b/internal/rest/fleet.go
@@ -57,11 +57,21 @@
 
 // Know takes an entry of the list.
 func (f *Fleet) Know(m coordinator.Member) {
+	if g, known := f.groups.Get(m.ID); known && m.Status != choice.Healthy {
+		g.withdraw()
+	}
 	f.groups.Know(m.ID, m.Addr, m.Status == choice.Removed, func(p directory.Place) *group { return &group{f: f, Place: p} })
 }
 
 // Only takes a whole list: worker groups that it does not name have gone.
-func (f *Fleet) Only(named map[string]bool) { f.groups.Only(named) }
+func (f *Fleet) Only(named map[string]bool) {
+	for _, g := range f.groups.All() {
+		if !named[g.ID] {
+			g.withdraw()
+		}
+	}
+	f.groups.Only(named)
+}
 
 // forget drops a worker group that has gone, once nothing of it is left.
 func (f *Fleet) forget(g *group) {
--- a/internal/rest/pool.go
+++ b/internal/rest/pool.go
@@ -135,6 +135,17 @@
 	return false
 }
 
+// withdraw ends the attempts that still wait for a connection: the worker group takes nothing new.
+func (g *group) withdraw() {
+	for _, id := range slices.Sorted(maps.Keys(g.queries)) {
+		for _, a := range slices.Clone(g.queries[id].attempts) {
+			if a.postedAt == 0 {
+				a.finish(link.Over)
+			}
+		}
+	}
+}
+
 // Left tells whether nothing of the group's is open or out.
 func (g *group) Left() bool { return g.wires == 0 && g.attempts == 0 && len(g.waiting) == 0 }
 
