Fail a keyed request at once where its window is over, and claim no harmless retry then

A keyed request that may have run and can't be repeated any more was held to its deadline, with the next requests of its key behind it, and then refused as harmless to try again, though no engine drops a repeat by then. Change: it is failed as its window ends, and a refusal is given only inside it.

--- a/choice/attempts.go
+++ b/choice/attempts.go
@@ -53,7 +53,7 @@
 		return false // rule: placement
 	}
 	if q.mayRun != nil && (q.effect == Unsafe || q.effect == Keyed &&
-		(f.now-q.mayRunAt >= q.c.Window-f.checkEvery || q.c.Group == GroupZone && q.mayRun.Zone != e.Zone ||
+		(f.windowOver(q) || q.c.Group == GroupZone && q.mayRun.Zone != e.Zone ||
 			q.c.Group == GroupCell && q.mayRun.Cell != e.Cell)) {
 		return false // rule: effects
 	}
@@ -229,8 +229,7 @@
 // giveUp gives the final answer at once: a refusal with advice where a new try does no harm, else a failure.
 func (f *Front) giveUp(q *request, why Reason) {
 	f.settle(q)
-	unrun := q.mayRun == nil && len(q.out) == 0
-	if !f.poison(q) && (unrun || q.effect == Safe || q.effect == Keyed && q.c.Group == GroupAll) {
+	if !f.poison(q) && f.harmless(q) {
 		// The advice is spread by lot: those refused at once must not all be back at once.
 		advice := f.s.MaxAdvice * adviceShare * (0.5 + f.rng.Float64())
 		if !f.s.CanAdvise {
@@ -243,6 +242,23 @@
 	f.end(q)
 }
 
+// harmless tells whether a client's new try of a request does no harm now.
+func (f *Front) harmless(q *request) bool {
+	first := q.mayRunAt
+	if q.mayRun == nil {
+		if len(q.out) == 0 {
+			return true
+		}
+		first = q.out[0].sent
+	}
+	return q.effect == Safe || q.effect == Keyed && q.c.Group == GroupAll && f.now < first+q.c.Window-f.checkEvery
+}
+
+// windowOver tells that a keyed request may have run, and that no engine drops a repeat of it any more.
+func (f *Front) windowOver(q *request) bool {
+	return q.mayRun != nil && q.effect == Keyed && f.now >= q.mayRunAt+q.c.Window-f.checkEvery
+}
+
 // abandon calls off what is out of a request and gives it up.
 func (f *Front) abandon(q *request, why Reason) {
 	if q == nil || q.ended {
--- a/choice/hold.go
+++ b/choice/hold.go
@@ -77,6 +77,10 @@
 		f.giveUp(q, ReasonAttempts)
 		return
 	}
+	if f.windowOver(q) { // its client would wait in vain, and so would the next requests of its key
+		f.giveUp(q, ReasonMayHaveRun)
+		return
+	}
 	if f.many && q.sends == 0 && q.probedAt < q.arrived && q.density < f.meanDensity() && f.s.ProbeReports {
 		q.probedAt = f.now - probeWait
 		if f.probe(f.candidates()) {
