--- a/cmd/thymeway/main.go
+++ b/cmd/thymeway/main.go
@@ -149,13 +149,14 @@
 	queue := deadline.New()
 	now := clock.New().Now
 	loop := &net.Loop{Deadlines: queue, Now: now, ConnectTimeout: c.ConnectTimeout}
-	n, err := node.New(c, loop, queue, now, loop.Wake)
+	n, err := node.New(c, loop, queue, now, loop.Ask)
 	if err != nil {
 		return err
 	}
 	loop.Accept = n.Accept
 	n.Clock = clock.NewMonitor()
 	loop.Turn = n.Turn
+	loop.Exhausted = n.FreeDescriptor
 	loop.Ready = func() {
 		slog.Info("ready", "name", c.Name, "listen", strings.Join(n.Listen(), ","), "classes", len(c.Choice.Classes), "rss_kb", memory(os.Getpid(), "VmRSS"))
 		n.Watch.Start()
--- a/internal/net/loop_test.go
+++ b/internal/net/loop_test.go
@@ -78,7 +78,7 @@
 		t.Fatal(err)
 	}
 	gone := &probe{got: make(chan string, 2)}
-	go l.dialer.settle(&dialling{fd: fd, c: &conn{l: l, h: gone}})
+	l.Do(func() { (&dialling{l: l, h: gone, fd: fd}).ready() })
 	wait(gone.got, "broken")
 	l.Do(l.Stop)
 	select {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -217,6 +217,9 @@
 	return n.fleet.Out()
 }
 
+// FreeDescriptor closes an unused connection to an engine, if there is one.
+func (n *Node) FreeDescriptor() { n.fleet.CloseIdle() }
+
 // pending is the number of bytes on their way to clients.
 func (n *Node) pending() int {
 	p := n.Sessions.Pending()
--- a/internal/rest/fleet.go
+++ b/internal/rest/fleet.go
@@ -86,21 +86,19 @@
 	if f.wires < f.MostWires {
 		return true
 	}
+	return f.CloseIdle() || f.abortSilent()
+}
+
+// CloseIdle closes an unused connection, of the worker group that has most of them; false: there is none.
+func (f *Fleet) CloseIdle() bool {
 	var most *group
-	var silent *wire
 	for _, g := range f.groups.All() {
 		if most == nil || len(g.idle) > len(most.idle) {
 			most = g
 		}
-		if len(g.kept) > 0 && (silent == nil || g.kept[0].call.wrote < silent.call.wrote) {
-			silent = g.kept[0]
-		}
 	}
 	if most == nil || len(most.idle) == 0 {
-		if silent != nil {
-			silent.abort()
-		}
-		return silent != nil
+		return false
 	}
 	w := most.idle[0]
 	w.unidle()
@@ -109,6 +107,21 @@
 	return true
 }
 
+// abortSilent ends the connection that has been silent for longest; false: none is.
+func (f *Fleet) abortSilent() bool {
+	var silent *wire
+	for _, g := range f.groups.All() {
+		if len(g.kept) > 0 && (silent == nil || g.kept[0].call.wrote < silent.call.wrote) {
+			silent = g.kept[0]
+		}
+	}
+	if silent == nil {
+		return false
+	}
+	silent.abort()
+	return true
+}
+
 // serve opens connections for calls that wait where there was no room for one.
 func (f *Fleet) serve() {
 	for _, g := range f.groups.All() {
