--- a/choice/attempts.go
+++ b/choice/attempts.go
@@ -111,7 +111,8 @@
 	return true
 }
 
-// windowEnd is until when a request that may have run may be sent again: a connection for it may come up late. 0: no bound.
+// windowEnd is until when a request that may have run may be sent again, as a connection for it may come up late.
+// 0: no bound.
 func (f *Front) windowEnd(q *request) float64 {
 	if q.mayRun == nil || q.effect != Keyed {
 		return 0
@@ -251,7 +252,8 @@
 		}
 		first = q.out[0].sent
 	}
-	return q.effect == Safe || q.effect == Keyed && q.c.Group == GroupAll && f.now < first+q.c.Window-f.checkEvery
+	inWindow := f.now < first+q.c.Window-f.checkEvery
+	return q.effect == Safe || q.effect == Keyed && q.c.Group == GroupAll && inWindow
 }
 
 // windowOver tells that a keyed request may have run, and that no engine drops a repeat of it any more.
