--- a/choice/attempts.go
+++ b/choice/attempts.go
@@ -111,8 +111,8 @@
 	return true
 }
 
-// windowEnd is until when a request that may have run may be sent again, as a connection for it may come up late.
-// 0: no bound.
+// windowEnd is until when a request that may have run may be sent again, as a connection for it may come up
+// late. 0: no bound.
 func (f *Front) windowEnd(q *request) float64 {
 	if q.mayRun == nil || q.effect != Keyed {
 		return 0
