--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -177,9 +177,12 @@
 // Stop ends the loop; Run returns.
 func (l *Loop) Stop() { l.stopped = true }
 
-// close frees all descriptors.
+// close frees all descriptors, listeners first: who finds his connection ended must not come back to this program.
 func (l *Loop) close() {
 	l.setRunning(false)
+	for fd := range l.listeners {
+		_ = unix.Close(fd)
+	}
 	l.flush()
 	for fd := range l.conns {
 		_ = unix.Close(fd)
@@ -187,8 +190,5 @@
 	for fd := range l.dialling {
 		_ = unix.Close(fd)
 	}
-	for fd := range l.listeners {
-		_ = unix.Close(fd)
-	}
 	l.poll.close()
 }
