Believe the clock on a start within a tenth of the time to warm up

Change: a start may be judged too early by a tenth of the time to warm up; budgets use 0.8 of the rule's, which bears it. With an eighth, TestColdWorkerGroupIsOverloadedWhenWallClockIsWrong fails (45 requests, 44 allowed), so it is a tenth; that test is unchanged.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -91,6 +91,7 @@
 	Listener  Listener
 	Addr      string
 	Connect   float64 // ms in which a connection has to come up
+	WarmAfter float64 // ms in which a worker group warms up
 
 	rev    int64
 	starts startTimes
@@ -151,6 +152,7 @@
 // localize puts the starts of an event's members on the program's clock.
 func (w *Watch) localize(whole bool, members []coordinator.Member) {
 	now := w.Now()
+	w.starts.warmAfter = w.WarmAfter
 	named := map[string]bool{}
 	for _, m := range members {
 		named[m.ID] = true
--- a/internal/board/starts.go
+++ b/internal/board/starts.go
@@ -2,16 +2,19 @@
 
 import "math"
 
-// mostClockError is by how many ms this machine's clock is taken to be wrong at most.
-const mostClockError = 2 * 3600e3
+const (
+	mostClockError = 2 * 3600e3 // ms by which this machine's clock is taken to be wrong at most
+	tolerance      = 0.1        // share of the time to warm up by which a start may be judged too early: cold budgets bear it
+)
 
 // startTimes turns the Unix times at which worker groups started into times of the program's own clock. Neither this
 // machine's clock nor the stamps alone can be trusted: a worker group taken for warm too early is overloaded, and one
-// taken for cold for long stays idle. So a start counts as no longer ago than both tell.
+// taken for cold for long stays idle. So a start counts as no longer ago than both tell, but for a tolerance.
 type startTimes struct {
-	newest   float64 // the latest stamp so far
-	newestAt float64 // when it was told, by the program's clock
-	known    map[string]startTime
+	warmAfter float64 // ms in which a worker group warms up
+	newest    float64 // the latest stamp so far
+	newestAt  float64 // when it was told, by the program's clock
+	known     map[string]startTime
 }
 
 // startTime is one worker group's: the stamp, and the time that was made of it. One stamp keeps its time.
@@ -34,7 +37,7 @@
 		return k.local
 	}
 	s.hear(stamp, now)
-	byStamps := s.newest + (now - s.newestAt) - stamp
+	byStamps := s.newest + (now - s.newestAt) - stamp + tolerance*s.warmAfter
 	byClock := now - stamp
 	age := math.Max(math.Min(byStamps, byClock), byClock-mostClockError)
 	t := startTime{stamp, now - math.Max(age, 0)}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -100,7 +100,8 @@
 		Sessions: &pg.Sessions{Coordinator: coord, Deadlines: queue, Faults: faults, Now: now, Margin: answerMargin, Seats: places,
 			MostInput: min(max(int(c.MemoryMB*(1<<20)*inputShare)/clients, leastInput), mostInput),
 			Random:    rand.New(rand.NewSource(int64(c.Seed) + 1))},
-		Watch: &board.Watch{Dialer: d, Deadlines: queue, Now: now, Listener: coord, Addr: c.Board, Connect: 2 * c.ConnectTimeout}}
+		Watch: &board.Watch{Dialer: d, Deadlines: queue, Now: now, Listener: coord, Addr: c.Board, Connect: 2 * c.ConnectTimeout,
+			WarmAfter: c.Choice.WarmAfter}}
 	if c.Own.CH.Listen != "" {
 		n.Front = &chhttp.Front{Coordinator: coord, Deadlines: queue, Faults: faults, Now: now, Margin: answerMargin, Seats: places,
 			Random: rand.New(rand.NewSource(int64(c.Seed) + 2)), Config: c, MostHeld: int(c.MemoryMB * (1 << 20) * bodyShare)}
