Read the configuration again where it can't be opened for a moment

Seen: where SIGHUP finds no descriptor (EMFILE, ENFILE, EIO), the configuration is refused and the new board missed for good; at the start the program ends. Change: both try again for 1 to 2 s where the reason may pass, and log reload-again.

--- a/cmd/thymeway/main.go
+++ b/cmd/thymeway/main.go
@@ -14,6 +14,7 @@
 	"runtime/debug"
 	"strings"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 
@@ -29,6 +30,8 @@
 const (
 	memoryShare = 0.7 // of the limit, at which the collector works harder
 	garbage     = 200 // percent that the heap may grow between collections
+	readTries   = 20
+	readPause   = 50 * time.Millisecond
 )
 
 // commands is the command line.
@@ -75,7 +78,7 @@
 	case "version":
 		fmt.Fprintln(out, version())
 	default:
-		c, err := read()
+		c, err := patiently(read)
 		if err != nil {
 			for _, f := range faults(err) {
 				slog.Error("configuration-refused", "error", f)
@@ -92,6 +95,17 @@
 	return 0
 }
 
+// patiently reads a configuration, a few times where it can't be opened for a moment.
+func patiently(read func() (config.Config, error)) (c config.Config, err error) {
+	for range readTries {
+		if c, err = read(); err == nil || !config.Passing(err) {
+			break
+		}
+		time.Sleep(readPause)
+	}
+	return c, err
+}
+
 // faults are the single faults that an error joins.
 func faults(err error) (all []error) {
 	if joined, ok := err.(interface{ Unwrap() []error }); ok {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -10,6 +10,7 @@
 	"os"
 	"reflect"
 	"strconv"
+	"syscall"
 
 	"thymeway/choice"
 	"thymeway/internal/wire"
@@ -80,6 +81,16 @@
 	return c, errors.Join(err, fault)
 }
 
+// Passing tells whether a configuration could not be read for a reason that may pass by itself.
+func Passing(err error) bool {
+	for _, e := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOMEM, syscall.EINTR, syscall.EAGAIN, syscall.EIO} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
+
 func platform(getenv func(string) string) (Config, error) {
 	path := getenv("EDGE_CONFIG")
 	if path == "" {
@@ -87,7 +98,7 @@
 	}
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return Config{}, fmt.Errorf("EDGE_CONFIG: %v", err)
+		return Config{}, fmt.Errorf("EDGE_CONFIG: %w", err)
 	}
 	return Parse(text, getenv("EDGE_NAME"), getenv("EDGE_LISTEN"))
 }
--- a/internal/config/own.go
+++ b/internal/config/own.go
@@ -240,7 +240,7 @@
 		return ParseOwn(nil)
 	}
 	if err != nil {
-		return Own{}, fmt.Errorf("own settings: %v", err)
+		return Own{}, fmt.Errorf("own settings: %w", err)
 	}
 	o, err := ParseOwn(text)
 	if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -45,6 +45,8 @@
 	chIdle       = 2500.0   // ms for which a connection to a ClickHouse engine is kept: these close them after 3 s or more
 	mostSnapshot = 64 << 20 // bytes of the file
 	cancelWithin = 200.0    // ms from then for worker groups to hear what is given up
+	reloadTries  = 20       // readings of a configuration that can't be opened for a moment
+	reloadPause  = 100.0    // ms between them
 )
 
 // Node is a whole coordinator.
@@ -192,8 +194,16 @@
 
 // Reload takes a configuration read anew. A faulty one leaves all as it is; of a good one the board's address
 // counts, and the rest waits for a restart.
-func (n *Node) Reload(read func() (config.Config, error)) {
+func (n *Node) Reload(read func() (config.Config, error)) { n.reload(read, reloadTries) }
+
+// reload tries again where the system is short of something for a moment: nobody asks for the new board a second time.
+func (n *Node) reload(read func() (config.Config, error), tries int) {
 	c, err := read()
+	if err != nil && tries > 1 && config.Passing(err) {
+		slog.Warn("reload-again", "error", err)
+		n.queue.Set(&deadline.Entry{Do: func() { n.reload(read, tries-1) }}, n.now()+reloadPause)
+		return
+	}
 	if err != nil {
 		slog.Error("reload-refused", "error", err)
 		return
