--- a/internal/node/order_test.go
+++ b/internal/node/order_test.go
@@ -16,11 +16,11 @@
 	"thymeway/internal/link"
 )
 
-// sea is a network with worker groups that are cut off, reset connections, drain, crash and fall silent for good. The
+// faultyNetwork is a network with worker groups that are cut off, reset connections, drain, crash and fall silent for good. The
 // worker groups keep account of what runs, and check the rules on what they see themselves.
-type sea struct {
+type faultyNetwork struct {
 	*world
-	engines []*island
+	engines []*engineStub
 	seq     map[string]int     // requests by id, in the order in which the program took them
 	keyOf   map[string]string  // by id
 	begun   map[string]int     // by key: the latest request of which an attempt was sent
@@ -35,21 +35,21 @@
 	seq int
 }
 
-// island is a worker group.
-type island struct {
-	s        *sea
+// engineStub is a worker group.
+type engineStub struct {
+	s        *faultyNetwork
 	id, addr string
 	from, to float64 // of its cut
 	drains   bool
 	down     bool
-	conns    []*strait
-	queries  map[string]*voyage
+	conns    []*connStub
+	queries  map[string]*runStub
 	notes    map[string]int    // of queries that are over: handed out ahead of their ends
 	ends     map[string]string // what a call for the news of an ended query is told
 }
 
-// voyage is a query that runs, or whose second page is not read yet.
-type voyage struct {
+// runStub is a query that runs, or whose second page is not read yet.
+type runStub struct {
 	asked float64
 	ended bool
 	notes int // that were not handed out yet
@@ -57,9 +57,9 @@
 	owed  int // answers on their way
 }
 
-// strait is a connection: bytes of either side come in their order, late where a cut lies in between.
-type strait struct {
-	e              *island
+// connStub is a connection: bytes of either side come in their order, late where a cut lies in between.
+type connStub struct {
+	e              *engineStub
 	h              link.Handler
 	ours, theirs   bool // ended by the program, by the worker group
 	there, back    float64
@@ -69,7 +69,7 @@
 const settle = 500.0
 
 // arrive is when what is sent now comes, behind what was sent before.
-func (c *strait) arrive(last *float64) float64 {
+func (c *connStub) arrive(last *float64) float64 {
 	s := c.e.s
 	at := s.now + 1 + s.rand.Float64()
 	if at >= c.e.from && at < c.e.to {
@@ -79,7 +79,7 @@
 	return *last - s.now
 }
 
-func (s *sea) Dial(addr string, h link.Handler) {
+func (s *faultyNetwork) Dial(addr string, h link.Handler) {
 	for _, e := range s.engines {
 		if e.addr != addr {
 			continue
@@ -90,7 +90,7 @@
 		case e.drains || e.down:
 			s.at(1, func() { h.Closed(link.Refused) })
 		default:
-			c := &strait{e: e, h: h}
+			c := &connStub{e: e, h: h}
 			e.conns = append(e.conns, c)
 			s.at(1, func() { h.Opened(c) })
 		}
@@ -99,18 +99,18 @@
 	s.at(1, func() { h.Closed(link.Refused) })
 }
 
-func (c *strait) Pending() int { return 0 }
-func (c *strait) Quiet() bool  { return !c.theirs && !c.ours }
+func (c *connStub) Pending() int { return 0 }
+func (c *connStub) Quiet() bool  { return !c.theirs && !c.ours }
 
 // Close ends the program's side behind what it has written, which comes all the same.
-func (c *strait) Close() {
+func (c *connStub) Close() {
 	c.ours = true
 	c.fin()
 }
 
-func (c *strait) Shut() { c.fin() }
+func (c *connStub) Shut() { c.fin() }
 
-func (c *strait) fin() {
+func (c *connStub) fin() {
 	if !c.fined {
 		c.fined = true
 		c.e.s.at(c.arrive(&c.there), func() { c.end(link.Hangup) })
@@ -118,18 +118,18 @@
 }
 
 // Abort drops what has not come yet.
-func (c *strait) Abort() {
+func (c *connStub) Abort() {
 	c.ours, c.aborted = true, true
 	c.e.s.at(c.arrive(&c.there), func() { c.end(link.Broken) })
 }
 
 // end is the worker group's side ending: nothing is read or answered any more.
-func (c *strait) end(how link.End) {
+func (c *connStub) end(how link.End) {
 	if c.theirs {
 		return
 	}
 	c.theirs = true
-	c.e.conns = slices.DeleteFunc(c.e.conns, func(x *strait) bool { return x == c })
+	c.e.conns = slices.DeleteFunc(c.e.conns, func(x *connStub) bool { return x == c })
 	c.e.s.at(c.arrive(&c.back), func() {
 		if !c.ours {
 			c.ours = true
@@ -138,7 +138,7 @@
 	})
 }
 
-func (c *strait) Write(b []byte) {
+func (c *connStub) Write(b []byte) {
 	if c.ours {
 		return
 	}
@@ -154,7 +154,7 @@
 }
 
 // sent checks the order as the program sends: no earlier request of the key is out, and the key has rested.
-func (s *sea) sent(id string) {
+func (s *faultyNetwork) sent(id string) {
 	key := s.keyOf[id]
 	if key == "" {
 		return
@@ -175,7 +175,7 @@
 	}
 }
 
-func (e *island) answer(c *strait, text string, then func()) {
+func (e *engineStub) answer(c *connStub, text string, then func()) {
 	s := e.s
 	if s.rand.Float64() < s.rough {
 		text = "HTTP/1.1 2x0 OK\r\n\r\n"
@@ -201,7 +201,7 @@
 const unknown = "HTTP/1.1 500 -\r\nContent-Length: 0\r\n\r\n"
 
 // take takes a call that has come whole.
-func (e *island) take(c *strait, text string) {
+func (e *engineStub) take(c *connStub, text string) {
 	s := e.s
 	if e.down {
 		return
@@ -239,7 +239,7 @@
 }
 
 // begin starts a query, and checks that none of its key and none of its own runs.
-func (e *island) begin(id string) {
+func (e *engineStub) begin(id string) {
 	s, key := e.s, e.s.keyOf[id]
 	for _, x := range s.engines {
 		for o := range x.queries {
@@ -251,7 +251,7 @@
 	if key != "" && s.seq[id] < s.begun[key] {
 		s.broke = append(s.broke, fmt.Sprintf("%.0f: %s begins after a later one of its key was sent", s.now-start, id))
 	}
-	v := &voyage{asked: s.now}
+	v := &runStub{asked: s.now}
 	e.queries[id] = v
 	delete(e.ends, id)
 	delete(e.notes, id)
@@ -295,7 +295,7 @@
 }
 
 // over ends a query: by itself, or given up.
-func (e *island) over(id, end string, givenUp bool) {
+func (e *engineStub) over(id, end string, givenUp bool) {
 	v := e.queries[id]
 	if v == nil {
 		return
@@ -314,7 +314,7 @@
 }
 
 // page gives the second page of a result; then the query is over.
-func (e *island) page(c *strait, id string) {
+func (e *engineStub) page(c *connStub, id string) {
 	v := e.queries[id]
 	if v == nil || !v.ended {
 		e.answer(c, unknown, nil)
@@ -326,7 +326,7 @@
 }
 
 // poll tells the news of a query: its end, or after 250 ms that it runs.
-func (e *island) poll(c *strait, id string) {
+func (e *engineStub) poll(c *connStub, id string) {
 	s, v := e.s, e.queries[id]
 	if v != nil && v.notes > 0 || e.notes[id] > 0 {
 		if v != nil {
@@ -370,7 +370,7 @@
 }
 
 // trouble has one thing happen to a worker group.
-func (e *island) trouble() {
+func (e *engineStub) trouble() {
 	s := e.s
 	switch s.rand.Intn(5) {
 	case 0, 1: // cut off, for less or more than any time that the program knows of
@@ -397,22 +397,22 @@
 	}
 }
 
-func (e *island) list(st choice.Status) {
+func (e *engineStub) list(st choice.Status) {
 	e.s.n.Coordinator.List(false, []coordinator.Member{{Engine: choice.Engine{ID: e.id, Zone: "room-a", Kind: "std-12", Size: 1, Status: st}, Addr: e.addr}})
 }
 
 // storm plays requests of a few keys against worker groups in trouble.
-func storm(t *testing.T, seed int64) (s *sea, answers []float64, served int) {
+func storm(t *testing.T, seed int64) (s *faultyNetwork, answers []float64, served int) {
 	c := conftest.Example(t)
 	w := &world{t: t, now: start, queue: deadline.New(), rand: rand.New(rand.NewSource(seed))}
-	s = &sea{world: w, seq: map[string]int{}, keyOf: map[string]string{}, begun: map[string]int{}, rest: map[string]resting{}}
+	s = &faultyNetwork{world: w, seq: map[string]int{}, keyOf: map[string]string{}, begun: map[string]int{}, rest: map[string]resting{}}
 	s.sticky, s.rough = w.rand.Intn(2) == 0, 0.06*w.rand.Float64()
 	var err error
 	if w.n, err = New(c, s, w.queue, func() float64 { return w.now }, func() { w.woken = true }); err != nil {
 		t.Fatal(err)
 	}
 	for i := range 4 {
-		e := &island{s: s, id: fmt.Sprintf("s-toy%d", i+1), addr: fmt.Sprintf("127.0.0.1:%d", 4101+i), queries: map[string]*voyage{}, ends: map[string]string{}, notes: map[string]int{}}
+		e := &engineStub{s: s, id: fmt.Sprintf("s-toy%d", i+1), addr: fmt.Sprintf("127.0.0.1:%d", 4101+i), queries: map[string]*runStub{}, ends: map[string]string{}, notes: map[string]int{}}
 		s.engines = append(s.engines, e)
 		w.at(0, func() { e.list(choice.Healthy) })
 		for at := 500.0; at < 30000; at += 500 + w.rand.Float64()*8000 {
