Take a query for dropped only once its worker group has run since

Cause: an attempt counted as over 2.35 s after its last call, as a worker group drops what nobody asks for in 2 s. One that hangs drops nothing; log lines show it answering no coordinator from 10.361 to 14.5, with the attempt told as ended at 12.712 and the next load of its key sent at 13.5. A hang looks like a cut, so silence proves neither. Change: that proof holds once the worker group has answered a call written after the 2 s, or refuses connections, else after 100 s; an ask or a DELETE that comes through ends the attempt at once, as before. The exchange keys-overdue waits for the DELETE's answer where it took the 2 s for proof. Calls name their connection in the log.

--- a/internal/node/order_test.go
+++ b/internal/node/order_test.go
@@ -40,6 +40,7 @@
 	s        *faultyNetwork
 	id, addr string
 	from, to float64 // of its cut
+	hung     float64 // until when its process stands still: nothing of it ends or is dropped before
 	drains   bool
 	down     bool
 	conns    []*connStub
@@ -266,7 +267,7 @@
 	end := "HTTP/1.1 200 OK\r\nPage-Count: 1\r\nWork-Ms: 5\r\nPeak-Mb: 8\r\nContent-Length: 6\r\n\r\na\tb\tc\n"
 	two := strings.Replace(end, "Page-Count: 1", "Page-Count: 2", 1)
 	roll := s.rand.Intn(10)
-	s.at(20+s.rand.ExpFloat64()*800, func() {
+	e.whenRunning(20+s.rand.ExpFloat64()*800, func() {
 		switch {
 		case e.queries[id] != v:
 		case roll == 0:
@@ -286,12 +287,23 @@
 			return
 		}
 		if left := v.asked + 2000 - s.now; left > 0 || v.owed > 0 {
-			s.at(max(left, 100), look)
+			e.whenRunning(max(left, 100), look)
 			return
 		}
 		e.over(id, unknown, true)
 	}
-	s.at(2000, look)
+	e.whenRunning(2000, look)
+}
+
+// whenRunning does something after so many ms, or once the process runs again.
+func (e *engineStub) whenRunning(after float64, do func()) {
+	e.s.at(after, func() {
+		if left := e.hung - e.s.now; left > 0 {
+			e.whenRunning(left+e.s.rand.Float64(), do)
+			return
+		}
+		do()
+	})
 }
 
 // over ends a query: by itself, or given up.
@@ -372,7 +384,7 @@
 // trouble has one thing happen to a worker group.
 func (e *engineStub) trouble() {
 	s := e.s
-	switch s.rand.Intn(5) {
+	switch s.rand.Intn(6) {
 	case 0, 1: // cut off, for less or more than any time that the program knows of
 		if s.now >= e.to {
 			e.from, e.to = s.now, s.now+200+s.rand.Float64()*12000
@@ -390,6 +402,17 @@
 		}
 		e.ends, e.notes, e.down = map[string]string{}, map[string]int{}, true
 		s.at(100+s.rand.Float64()*2000, func() { e.down = false })
+	case 5: // it hangs: nobody reaches it, and what it runs stays
+		if s.now < e.to {
+			break
+		}
+		if s.rand.Intn(2) == 0 { // and its connections are reset as it begins
+			for _, c := range slices.Clone(e.conns) {
+				c.end(link.Broken)
+			}
+		}
+		e.from, e.to = s.now, s.now+200+s.rand.Float64()*12000
+		e.hung = e.to
 	case 4: // all its connections are reset, and it runs on
 		for _, c := range slices.Clone(e.conns) {
 			c.end(link.Broken)
--- a/internal/rest/attempt.go
+++ b/internal/rest/attempt.go
@@ -56,13 +56,7 @@
 	a.g.attempts++
 	a.query = a.g.query(a.ID)
 	a.query.attempts = append(a.query.attempts, a)
-	a.lapse.Do = func() {
-		if a.cancelled {
-			a.finish(a.reason)
-		} else {
-			a.finish(link.Silent)
-		}
-	}
+	a.lapse.Do = a.dropped
 	a.budget.Do = func() {
 		if a.postedAt == 0 { // it was never written
 			a.finish(link.Unreached)
@@ -119,7 +113,7 @@
 	case r != nil:
 		a.news(a.post, r)
 	case a.postedAt > 0:
-		logs.Trace("post-broke", a.ID, "engine", a.Engine, "end", e)
+		logs.Trace("post-broke", a.ID, "engine", a.Engine, "wire", a.post.wire, "end", e)
 		a.askIn(0)
 	case a.withdrawn:
 		a.finish(link.Over)
@@ -139,7 +133,7 @@
 	}
 	c.done = func(r *reply, e link.End) {
 		if r == nil {
-			logs.Trace("ask-broke", a.ID, "engine", a.Engine, "end", e)
+			logs.Trace("ask-broke", a.ID, "engine", a.Engine, "wire", c.wire, "end", e)
 		}
 		switch {
 		case r != nil:
@@ -165,7 +159,7 @@
 
 // late takes an answer that came after its call was taken for silent, or after the attempt was given up.
 func (a *attempt) late(c *call, r *reply) {
-	logs.Trace("late", a.ID, "engine", a.Engine, "status", r.status, "after", a.f.Now()-c.wrote, "own", c == a.post, "fixed", c.after)
+	logs.Trace("late", a.ID, "engine", a.Engine, "wire", c.wire, "status", r.status, "after", a.f.Now()-c.wrote, "own", c == a.post, "fixed", c.after)
 	end := r.ends() || r.good() && r.pages == 1
 	switch {
 	case a.over:
@@ -202,7 +196,7 @@
 
 // news takes the answer to a POST or to a call for page 0.
 func (a *attempt) news(c *call, r *reply) {
-	logs.Trace("news", a.ID, "engine", a.Engine, "status", r.status, "pages", r.pages, "own", c == a.post)
+	logs.Trace("news", a.ID, "engine", a.Engine, "wire", c.wire, "status", r.status, "pages", r.pages, "own", c == a.post)
 	if r.report != (choice.Report{}) {
 		a.ended.Report = r.report
 	}
@@ -373,7 +367,7 @@
 		if r != nil {
 			status = r.status
 		}
-		logs.Trace("deleted", a.ID, "engine", a.Engine, "status", status, "end", e, "fixed", c.after)
+		logs.Trace("deleted", a.ID, "engine", a.Engine, "wire", c.wire, "status", status, "end", e, "fixed", c.after)
 		switch {
 		case a.over:
 		case a.told, status == 204 && c.after, e == link.Refused && a.g.replaced():
--- a/internal/rest/fleet.go
+++ b/internal/rest/fleet.go
@@ -26,6 +26,8 @@
 	extraWithin  = 4.0    // after an answer that ends something, for bytes behind it to come before the connection is used again
 	refusedPause = 50.0   // after a refused connection, before another one is asked for
 	sendApart    = 30.0   // between a POST and the DELETE of its query on another connection, which must not overtake it
+	lapseCheck   = 250.0  // between two looks whether a worker group has run since it must have dropped a query
+	hungMost     = 100e3  // for which a worker group may hang and run on after all
 	keptMost     = 100e3  // for which a silent connection is kept, as TCP has to keep one at least (RFC 1122, 4.2.3.5)
 	segmentLife  = 120e3  // for which the network may hold what was sent (RFC 9293, 3.4.1)
 	mostBroken   = 4      // connections in a row that are reset as they come up, before a call hears of it
@@ -48,6 +50,7 @@
 	groups   directory.Directory[*group]
 	attempts map[key]*attempt
 	wires    int
+	dials    int // so far
 }
 
 type key struct {
--- a/internal/rest/pool.go
+++ b/internal/rest/pool.go
@@ -20,6 +20,7 @@
 	stays   bool           // it concerns a query that may run there: it waits for an open connection
 	asks    *query         // the query that it keeps alive: its connection is kept until it is known what became of it
 	wrote   float64        // when it was written
+	wire    int            // the connection that it was written to, for the log
 	after   bool           // it was written when its query's POST had come, or was known never to come
 	settled bool           // it has come, or never will
 	timer   deadline.Entry // for a connection, then for the answer
@@ -38,6 +39,8 @@
 	kept     []*wire        // that fell silent under a call that keeps a query alive, the first one first
 	reopen   deadline.Entry // set after a refusal: no connection is asked for before
 	broken   int            // connections in a row that were reset as they came up
+	ranAt    float64        // when the latest call was written that was answered: the process ran then or later
+	refuses  bool           // its latest connection was refused: it does not hang with an open listener
 	attempts int
 	queries  map[string]*query // by the request's id
 }
@@ -45,6 +48,7 @@
 // wire is a connection to a worker group.
 type wire struct {
 	g       *group
+	number  int // for the log
 	addr    string
 	c       link.Conn
 	parser  parser
@@ -98,7 +102,8 @@
 	g.dialing++
 	g.wires++
 	g.f.wires++
-	g.f.Dialer.Dial(g.Addr, &wire{g: g, addr: g.Addr})
+	g.f.dials++
+	g.f.Dialer.Dial(g.Addr, &wire{g: g, number: g.f.dials, addr: g.Addr})
 }
 
 // fail ends a call that still waits for a connection.
@@ -190,7 +195,7 @@
 		c.done(nil, link.Unreached)
 		return
 	}
-	w.call, c.wrote = c, f.Now()
+	w.call, c.wrote, c.wire = c, f.Now(), w.number
 	c.timer.Do = func() {
 		// Danger: a machine that is cut off keeps its connections open and says nothing.
 		if c.asks == nil {
@@ -325,6 +330,7 @@
 // Opened comes when the connection is up.
 func (w *wire) Opened(c link.Conn) {
 	w.g.dialing--
+	w.g.refuses = false
 	w.c = c
 	w.rest(0)
 	w.g.reached()
@@ -360,7 +366,7 @@
 	c := w.call
 	w.call = nil
 	f.Deadlines.Clear(&c.timer)
-	w.g.broken = 0
+	w.g.broken, w.g.ranAt = 0, max(w.g.ranAt, c.wrote)
 	c.settle()
 	if r.close {
 		w.close()
@@ -433,7 +439,8 @@
 	g := w.g
 	g.dialing--
 	w.off()
-	if e == link.Refused {
+	g.refuses = e == link.Refused
+	if g.refuses {
 		g.reopen.Do = g.dial
 		g.f.Deadlines.Set(&g.reopen, g.f.Now()+refusedPause)
 	}
--- a/internal/rest/proof.go
+++ b/internal/rest/proof.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"thymeway/internal/deadline"
+	"thymeway/internal/link"
 )
 
 // What proves that an attempt is over, in one place. A request has one attempt out, and the requests of a key run one at
@@ -24,7 +25,9 @@
 //     come of a query dropped just now: it is deleted then, so that both sides take it for over from the same time;
 //   - deleted: a DELETE written after the POST was fixed is answered with 204;
 //   - replaced: another process listens at the address;
-//   - dropped: no call that keeps the query alive can still come, and the last one came unasked ms ago.
+//   - dropped: no call that keeps the query alive can still come, the last one came unasked ms ago, and the worker group has
+//     answered a call written since then, or refuses connections. One that hangs drops nothing, and looks like one that is
+//     cut off.
 //
 // Nothing else is proof: no silence, no refusal (one that drains refuses and runs its queries on), no reset, no list that
 // says it has gone, no answer that can't be read. Until there is proof the attempt keeps its key's place; its client is
@@ -37,6 +40,7 @@
 	open     int            // of these calls, written and neither answered nor ended with their connections
 	stray    deadline.Entry // waits while a DELETE without an answer may still come
 	at       float64        // when the last of them was
+	wrote    float64        // when the last of them was written
 	attempts []*attempt
 }
 
@@ -56,6 +60,7 @@
 // written counts a call that keeps the query alive.
 func (q *query) written() {
 	q.open++
+	q.wrote = q.g.f.Now()
 	for _, a := range q.attempts {
 		q.g.f.Deadlines.Clear(&a.lapse)
 	}
@@ -110,6 +115,21 @@
 	return c == a.post || c.after || r.good() && a.Number == 0
 }
 
+// dropped ends the attempt, as its worker group has run since it must have dropped the query. Where that is not known it is
+// looked at again; after hungMost a worker group counts as gone.
+func (a *attempt) dropped() {
+	now, q := a.f.Now(), a.query
+	if a.g.ranAt < q.at+unasked && !a.g.refuses && now < q.wrote+hungMost {
+		a.f.Deadlines.Set(&a.lapse, now+lapseCheck)
+		return
+	}
+	if a.cancelled {
+		a.finish(a.reason)
+	} else {
+		a.finish(link.Silent)
+	}
+}
+
 // watch has the attempt end once its query must have been dropped, as nobody can ask for it any more.
 func (a *attempt) watch() {
 	if q := a.query; q != nil && q.open == 0 && !a.over {
