Move the judgement of starts out of I/O code, and use the field's terms for errors

Read again as a whole: how long ago a worker group started is a decision and stood in package board, which speaks discovery's protocol; it is package starttime now, without input, output or clock.

--- a/cmd/thymeway/main.go
+++ b/cmd/thymeway/main.go
@@ -30,7 +30,7 @@
 const (
 	memoryShare = 0.7 // of the limit, at which the collector works harder
 	garbage     = 200 // percent that the heap may grow between collections
-	readTries   = 20
+	readTries   = 20  // readings of a configuration that can't be opened for a moment
 	readPause   = 50 * time.Millisecond
 )
 
@@ -78,7 +78,7 @@
 	case "version":
 		fmt.Fprintln(out, version())
 	default:
-		c, err := patiently(read)
+		c, err := readWithRetry(read)
 		if err != nil {
 			for _, f := range faults(err) {
 				slog.Error("configuration-refused", "error", f)
@@ -95,10 +95,10 @@
 	return 0
 }
 
-// patiently reads a configuration, a few times where it can't be opened for a moment.
-func patiently(read func() (config.Config, error)) (c config.Config, err error) {
+// readWithRetry reads a configuration, a few times where it can't be opened for a moment.
+func readWithRetry(read func() (config.Config, error)) (c config.Config, err error) {
 	for range readTries {
-		if c, err = read(); err == nil || !config.Passing(err) {
+		if c, err = read(); err == nil || !config.Transient(err) {
 			break
 		}
 		time.Sleep(readPause)
--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -14,6 +14,7 @@
 	"thymeway/internal/coordinator"
 	"thymeway/internal/deadline"
 	"thymeway/internal/link"
+	"thymeway/internal/starttime"
 )
 
 // Pauses and limits.
@@ -94,7 +95,7 @@
 	WarmAfter float64 // ms in which a worker group warms up
 
 	rev    int64
-	starts startTimes
+	starts starttime.Judge
 	pause  float64
 	cur    *feed
 	timer  deadline.Entry
@@ -152,20 +153,20 @@
 // localize puts the starts of an event's members on the program's clock.
 func (w *Watch) localize(whole bool, members []coordinator.Member) {
 	now := w.Now()
-	w.starts.warmAfter = w.WarmAfter
+	w.starts.WarmAfter = w.WarmAfter
 	named := map[string]bool{}
 	for _, m := range members {
 		named[m.ID] = true
-		w.starts.hear(m.Started, now)
+		w.starts.Observe(m.Started, now)
 	}
 	if whole {
-		w.starts.only(named)
+		w.starts.Only(named)
 	}
 	for i := range members {
 		m := &members[i]
-		m.Started = w.starts.local(m.ID, m.Started, now)
+		m.Started = w.starts.Local(m.ID, m.Started, now)
 		if m.Status == choice.Removed {
-			w.starts.forget(m.ID)
+			w.starts.Forget(m.ID)
 		}
 	}
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -81,8 +81,8 @@
 	return c, errors.Join(err, fault)
 }
 
-// Passing tells whether a configuration could not be read for a reason that may pass by itself.
-func Passing(err error) bool {
+// Transient tells whether a configuration could not be read for a reason that may pass by itself.
+func Transient(err error) bool {
 	for _, e := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOMEM, syscall.EINTR, syscall.EAGAIN, syscall.EIO} {
 		if errors.Is(err, e) {
 			return true
--- a/internal/net/dial.go
+++ b/internal/net/dial.go
@@ -51,7 +51,7 @@
 		d.l.Exhausted()
 	}
 	pause := dialPause * float64(int(1)<<(d.tries-1))
-	if !scarce(err) && !passing(err) || d.tries == dialTries || d.l.Now()+pause >= d.until {
+	if !outOfResources(err) && !transient(err) || d.tries == dialTries || d.l.Now()+pause >= d.until {
 		d.l.put(func() { d.h.Closed(failure(err)) })
 		return
 	}
@@ -117,8 +117,8 @@
 	})
 }
 
-// passing tells whether a connection failed to begin for a reason that may pass in a moment.
-func passing(err error) bool {
+// transient tells whether a connection failed to begin for a reason that may pass in a moment.
+func transient(err error) bool {
 	return errors.Is(err, unix.ECONNABORTED) || errors.Is(err, unix.ENETUNREACH) || errors.Is(err, unix.ENETDOWN)
 }
 
@@ -127,7 +127,7 @@
 	switch {
 	case errors.Is(err, unix.ECONNREFUSED):
 		return link.Refused
-	case scarce(err):
+	case outOfResources(err):
 		return link.Crowded
 	// Danger: one that came up and was reset at once tells nothing of the process behind it.
 	case errors.Is(err, unix.ECONNRESET), errors.Is(err, unix.EPIPE), errors.Is(err, unix.ENOTCONN):
--- a/internal/net/listener.go
+++ b/internal/net/listener.go
@@ -44,7 +44,7 @@
 		if err == nil {
 			break
 		}
-		if try == listenTries || !scarce(err) {
+		if try == listenTries || !outOfResources(err) {
 			return nil, fmt.Errorf("listen %s: %w", addr, err)
 		}
 		time.Sleep(listenPause)
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -76,7 +76,7 @@
 	var list []ready
 	var err error
 	for !l.stopped {
-		if list, err = l.poll.wait(list[:0], l.patience()); err != nil {
+		if list, err = l.poll.wait(list[:0], l.waitLimit()); err != nil {
 			return fmt.Errorf("waiting for events: %w", err)
 		}
 		for _, r := range list {
@@ -101,8 +101,8 @@
 	}
 }
 
-// patience is how many ms the loop may wait for events; -1: without end.
-func (l *Loop) patience() int {
+// waitLimit is how many ms the loop may wait for events; -1: without end.
+func (l *Loop) waitLimit() int {
 	if l.asked {
 		return 0
 	}
--- a/internal/net/syscalls.go
+++ b/internal/net/syscalls.go
@@ -41,8 +41,8 @@
 	return false
 }
 
-// scarce tells whether a call failed as this machine or process is short of something.
-func scarce(err error) bool {
+// outOfResources tells whether a call failed as this machine or process is short of something.
+func outOfResources(err error) bool {
 	switch {
 	case errors.Is(err, unix.EMFILE), errors.Is(err, unix.ENFILE), errors.Is(err, unix.ENOBUFS), errors.Is(err, unix.ENOMEM),
 		errors.Is(err, unix.EADDRNOTAVAIL), errors.Is(err, unix.EAGAIN):
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -199,7 +199,7 @@
 // reload tries again where the system is short of something for a moment: nobody asks for the new board a second time.
 func (n *Node) reload(read func() (config.Config, error), tries int) {
 	c, err := read()
-	if err != nil && tries > 1 && config.Passing(err) {
+	if err != nil && tries > 1 && config.Transient(err) {
 		slog.Warn("reload-again", "error", err)
 		n.queue.Set(&deadline.Entry{Do: func() { n.reload(read, tries-1) }}, n.now()+reloadPause)
 		return
--- a/internal/board/starts_test.go
+++ b/internal/starttime/starttime_test.go
@@ -1,4 +1,4 @@
-package board
+package starttime
 
 import (
 	"math"
@@ -14,10 +14,10 @@
 	// much, it is sent no more than the rule allows.
 	const margin = (1/0.8 - 1) * 0.34 / 0.66 * warmAfter
 	for _, off := range []float64{0, -5000, 5000, -hour, hour} {
-		s := startTimes{warmAfter: warmAfter}
+		s := Judge{WarmAfter: warmAfter}
 		// Told at the program's start: one that began 60 s ago, one 4 s ago, one a day ago.
-		local := func(id string, began, at float64) float64 { return at + off - s.local(id, began, at+off) }
-		s.hear(now-4000, now+off)
+		local := func(id string, began, at float64) float64 { return at + off - s.Local(id, began, at+off) }
+		s.Observe(now-4000, now+off)
 		if age := local("fresh", now-4000, now); age < 0 || age > 4000+margin {
 			t.Errorf("clock off by %.0f: one that started 4,000 ms ago counts as %.0f ms old", off, age)
 		}
@@ -28,11 +28,11 @@
 			t.Errorf("clock off by %.0f: one that started a day ago counts as %.0f ms old", off, age)
 		}
 		// Told later, 1 s after its start; and told again.
-		first := s.local("late", now+9000, now+10e3+off)
+		first := s.Local("late", now+9000, now+10e3+off)
 		if age := now + 10e3 + off - first; age < 0 || age > 1000+margin {
 			t.Errorf("clock off by %.0f: one that started 1,000 ms ago counts as %.0f ms old", off, age)
 		}
-		if again := s.local("late", now+9000, now+20e3+off); math.Abs(again-first) > 0 {
+		if again := s.Local("late", now+9000, now+20e3+off); math.Abs(again-first) > 0 {
 			t.Errorf("clock off by %.0f: told again, its start moves by %.0f ms", off, again-first)
 		}
 	}
@@ -41,11 +41,11 @@
 // A stamp from the far future made all others look old.
 func TestStampOfTheFutureMakesOthersWarm(t *testing.T) {
 	const now = 1.7e12
-	var s startTimes
-	if local := s.local("odd", now+3600e3, now); local != now {
+	var s Judge
+	if local := s.Local("odd", now+3600e3, now); local != now {
 		t.Errorf("one that is to start in an hour counts as started %.0f ms ago", now-local)
 	}
-	if age := now - s.local("fresh", now-2000, now); age > 2000 {
+	if age := now - s.Local("fresh", now-2000, now); age > 2000 {
 		t.Errorf("one that started 2,000 ms ago counts as %.0f ms old", age)
 	}
 }
