--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -24,8 +24,10 @@
 	node     *coordinator
 }
 
-// cases holds the play of each case. It returns the exit code and a line that tells what was seen. The fourth has no folder.
-var cases = map[int]func(w *world) (int, string){1: lateCopies, 2: manyInserts, 3: reusedAddress, 4: wrongLengths}
+// cases holds the play of each case. It returns the exit code and a line that tells what was seen. Those from 4 on have
+// no folder.
+var cases = map[int]func(w *world) (int, string){1: lateCopies, 2: manyInserts, 3: reusedAddress, 4: wrongLengths,
+	5: goneClients}
 
 // draw returns a random number under n.
 func (w *world) draw(n int) int {
@@ -67,8 +69,7 @@
 }
 
 // start starts count worker groups, the notice board and the coordinator. prepare may change a worker group before it starts.
-func (w *world) start(count int, prepare func(k *worker)) {
-	d := &deployment{}
+func (w *world) start(d *deployment, count int, prepare func(k *worker)) {
 	for i := range count {
 		k := w.newWorker()
 		if prepare != nil {
@@ -193,7 +194,7 @@
 // lateCopies: a second copy of one in ten good answers comes 2 to 6 ms after the first.
 func lateCopies(w *world) (int, string) {
 	var copies counter
-	w.start(6, func(k *worker) {
+	w.start(&deployment{sockets: 1024}, 6, func(k *worker) {
 		k.spoil = func(c *workerConn, a answer) bool {
 			b := a.bytes(len(a.body))
 			c.send(b)
@@ -215,7 +216,7 @@
 // one. Its connection is of no further use.
 func wrongLengths(w *world) (int, string) {
 	var spoilt counter
-	w.start(6, func(k *worker) {
+	w.start(&deployment{sockets: 1024}, 6, func(k *worker) {
 		k.spoil = func(c *workerConn, a answer) bool {
 			if !w.trouble || !a.end || !w.chance(10) {
 				return false
@@ -239,7 +240,7 @@
 // within 2 s, else eight at a time, one after the other.
 func manyInserts(w *world) (int, string) {
 	const inserts, atOnce, memoryMB = 280, 8, 192
-	w.start(6, nil)
+	w.start(&deployment{sockets: 1024}, 6, nil)
 	memory := w.node.watchMemory(w.record, memoryMB)
 	var answered counter
 	var all sync.WaitGroup
@@ -282,12 +283,73 @@
 	return exitHeld, text
 }
 
+// goneClients: half of 80 clients close their connections 20 to 120 ms after each request, on a deployment where an attempt can't be
+// cancelled and a coordinator has 256 descriptors. Without trouble they wait for their answers. An attempt must not begin later
+// than 0.1 s, and 50 ms more, after its client has closed.
+func goneClients(w *world) (int, string) {
+	w.start(&deployment{sockets: 256, noCancel: true}, 6, func(k *worker) {
+		k.runFor = func(string) time.Duration { return w.between(700*time.Millisecond, 1500*time.Millisecond) }
+	})
+	end := time.Now().Add(30 * time.Second)
+	goneAt := map[string]time.Time{}
+	var all sync.WaitGroup
+	for number := range 80 {
+		all.Go(func() {
+			for time.Now().Before(end) {
+				s, err := connect(w.node.addr)
+				if err != nil {
+					time.Sleep(20 * time.Millisecond)
+					continue
+				}
+				r := &request{id: fmt.Sprintf("%08x%08x", w.draw(1<<31-1), w.draw(1<<31-1)), class: "lookup", limit: 2800 * time.Millisecond}
+				text := w.statement(r, tenants[number%len(tenants)], "", 130)
+				w.record.add("client %d sent id=%s", number, r.id)
+				if !w.trouble || number%2 == 1 {
+					_ = s.ask(r, text)
+					s.close()
+					w.record.add("client %d answer id=%s outcome=%s", number, r.id, r.outcome)
+					continue
+				}
+				_ = s.write(text)
+				time.Sleep(w.between(20*time.Millisecond, 120*time.Millisecond))
+				s.close()
+				w.record.add("client %d gone id=%s", number, r.id)
+				w.mu.Lock()
+				goneAt[r.id] = time.Now()
+				w.mu.Unlock()
+				time.Sleep(w.between(0, 100*time.Millisecond))
+			}
+		})
+	}
+	all.Wait()
+	time.Sleep(time.Second)
+	w.node.stop()
+	runs, late, latest := 0, 0, time.Duration(0)
+	for _, k := range w.workers {
+		for _, r := range k.allRuns() {
+			runs++
+			if at, gone := goneAt[r.id]; gone && r.arrivedAt.Sub(at) > 150*time.Millisecond {
+				late, latest = late+1, max(latest, r.arrivedAt.Sub(at))
+				w.record.add("BROKEN id=%s begun %s after its client had gone", r.id, r.arrivedAt.Sub(at))
+			}
+		}
+	}
+	text := fmt.Sprintf("gone=%d runs=%d begun-too-late=%d latest=%s", len(goneAt), runs, late, latest)
+	switch {
+	case late > 0:
+		return exitBroken, text
+	case runs < 200:
+		return exitNotRun, text
+	}
+	return exitHeld, text
+}
+
 // reusedAddress: every nine seconds the process of a worker group dies, and half a second later a new worker group, with a new id,
 // is up. The notice board tells of both 2.4 s after that start, first that the old one has gone, then that the new one is ready.
 // With trouble the new one has the address of the old one, else an address of its own.
 func reusedAddress(w *world) (int, string) {
 	const groups, replacements = 6, 8
-	w.start(groups, nil)
+	w.start(&deployment{sockets: 1024}, groups, nil)
 	finished := make(chan struct{})
 	go func() {
 		defer close(finished)
--- a/review/rig/platform.go
+++ b/review/rig/platform.go
@@ -112,8 +112,10 @@
 
 // deployment is what a coordinator is told. The classes, kinds and figures are those of the site dar-kurasini.
 type deployment struct {
-	board   string
-	members []member
+	board    string
+	members  []member
+	sockets  int
+	noCancel bool // an attempt can't be cancelled, as on the site lj-tehnopark
 }
 
 // zones are the rooms of the site.
@@ -140,8 +142,12 @@
 
 // configuration returns the configuration file.
 func (d *deployment) configuration(listen string) map[string]any {
+	settings := strings.ReplaceAll(siteSettings, "\n", "")
+	if d.noCancel {
+		settings = strings.Replace(settings, `"cancelling": true`, `"cancelling": false`, 1)
+	}
 	return map[string]any{"name": "n0", "listen": listen, "seed": "8c1f30d27a5be964",
-		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "board": d.board,
+		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": d.sockets}, "board": d.board,
 		"known":    map[string]any{"rev": 1, "notices": []event{{1, pool{1, true, d.members}}}},
-		"settings": json.RawMessage(strings.ReplaceAll(siteSettings, "\n", ""))}
+		"settings": json.RawMessage(settings)}
 }
