Ask for queries at a reused address in place of counting them as ended

Cause: the proof "Replaced" took "another worker group is listed at the address" for "the process that got the POST has ended". The list is late (starts up to 2.4 s, ends up to 4.9 s), so the new process may have been there before the POST, and runs the query. directory.Update cleared the old id's address; group.replaced then ended polls, page requests and DELETEs as ProcessDied, and cancelled attempts at once. The same cause ended attempts on ClickHouse engines unasked, and the late news of an old id's end took the address from the new one.

Change: connections, calls and queries belong to an address (directory.Endpoint), which listed ids share in turn. A new listing ends only what was not yet sent to the old id and closes idle connections. What was sent is polled or deleted at the address until one of the other proofs holds. This is enough, as an address is reused only after its process has ended: the new process either runs the query, or does not know it and its 204 to the DELETE is the proof. Late news of an older id takes no address. Calls at an address without a listed worker group use new connections; these were closed as soon as they were open.

The checks that TestOrderKeysUnderFaults makes are now shared, at the same bounds.

--- a/internal/chengine/fleet.go
+++ b/internal/chengine/fleet.go
@@ -62,28 +62,28 @@
 
 // Update adds or updates a listed engine. If it is not healthy, attempts whose query was not yet written to it end as expired.
 func (f *Fleet) Update(listed coordinator.ListedEngine) {
-	if e, known := f.engines.Get(listed.ID); known && listed.Status != choice.Healthy {
-		f.finishUnsent(e)
+	if listed.Status == choice.Removed {
+		f.engines.Remove(listed.ID)
+		return
+	}
+	if listed.Status != choice.Healthy {
+		f.finishUnsent(listed.ID)
+	}
+	f.engines.Update(listed.ID, listed.Addr,
+		func(endpoint directory.Endpoint) *engine { return &engine{fleet: f, Endpoint: endpoint} })
+	if e, current := f.engines.Get(listed.ID); current {
+		e.kind = listed.Kind
 	}
-	f.engines.Update(listed.ID, listed.Addr, listed.Status == choice.Removed,
-		func(record directory.Record) *engine { return &engine{fleet: f, Record: record, kind: listed.Kind} })
 }
 
 // RemoveUnlisted removes the engines that a complete list does not name.
-func (f *Fleet) RemoveUnlisted(named map[string]bool) {
-	for _, e := range f.engines.All() {
-		if !named[e.ID] {
-			f.finishUnsent(e)
-		}
-	}
-	f.engines.RemoveUnlisted(named)
-}
+func (f *Fleet) RemoveUnlisted(named map[string]bool) { f.engines.RemoveUnlisted(named) }
 
 // finishUnsent ends the attempts that still wait for a connection to an engine, as the engine accepts no new queries.
-func (f *Fleet) finishUnsent(e *engine) {
+func (f *Fleet) finishUnsent(id string) {
 	var waiting []*attempt
 	for _, a := range f.attempts {
-		if a.engine == e && !a.written {
+		if a.Engine == id && !a.written {
 			waiting = append(waiting, a)
 		}
 	}
@@ -107,7 +107,7 @@
 		}
 		f.Listener.ProbeEnded(outcome)
 	}
-	if e == nil || e.Addr == "" {
+	if e == nil {
 		report(nil, transport.Unreachable)
 		return
 	}
@@ -159,7 +159,7 @@
 	a := &attempt{Attempt: request, fleet: f, engine: e, startedAt: f.Now(),
 		queryID: request.ID + "-" + strconv.Itoa(request.Number)}
 	a.outcome = coordinator.Outcome{Request: a.ID, Engine: a.Engine, Attempt: a.Number}
-	if a.engine == nil || a.engine.Addr == "" {
+	if a.engine == nil {
 		a.finish(transport.Unreachable)
 		return
 	}
@@ -413,7 +413,7 @@
 			case a.finished:
 			case r != nil && r.Status == 200 && string(bytes.TrimSpace(r.body)) == "0":
 				a.finish(a.endReason)
-			case reason == transport.ConnRefused && (a.engine.openConns == 0 || a.engine.Addr == ""):
+			case reason == transport.ConnRefused && a.engine.openConns == 0:
 				// The engine's process has ended, and the query with it.
 				if a.endReason == transport.QueryLost {
 					a.endReason = transport.ProcessDied
--- a/internal/chengine/pool.go
+++ b/internal/chengine/pool.go
@@ -37,9 +37,10 @@
 	}
 }
 
-// engine holds the connections to one engine.
+// engine holds the connections to the address of an engine. If another engine is listed with the address, both share it: queries
+// that were sent there may run on either.
 type engine struct {
-	directory.Record
+	directory.Endpoint
 	fleet        *Fleet
 	kind         string
 	idle         []*conn // most recently used last
@@ -51,7 +52,7 @@
 // conn is a connection to an engine. It carries at most one call at a time.
 type conn struct {
 	engine           *engine
-	addr             string
+	server           string // id of the engine that was listed with the address when the connection was dialed
 	transport        transport.Conn
 	call             *call
 	input            []byte      // received, but not parsed yet
@@ -72,10 +73,6 @@
 
 // start writes a call to an idle connection, or opens a connection for it.
 func (e *engine) start(c *call) {
-	if e.Addr == "" { // the engine's process has ended, and another engine listens at its address
-		c.done(nil, transport.ConnRefused)
-		return
-	}
 	for count := len(e.idle); count > 0; count = len(e.idle) {
 		cn := e.idle[count-1]
 		e.idle = e.idle[:count-1]
@@ -92,7 +89,7 @@
 		c.done(nil, transport.NoDescriptor)
 		return
 	}
-	cn := &conn{engine: e, addr: e.Addr, call: c}
+	cn := &conn{engine: e, server: e.ServerID(), call: c}
 	c.conn = cn
 	e.conns++
 	e.fleet.conns++
@@ -116,11 +113,10 @@
 // Unused reports whether the engine has no connection and no attempt.
 func (e *engine) Unused() bool { return e.conns == 0 && e.attemptCount == 0 }
 
-// AddressTaken does nothing: each call has its own connection, which compares the addresses once it is established.
-func (e *engine) AddressTaken() {}
-
-// CloseIdle closes the idle connections.
-func (e *engine) CloseIdle() {
+// ServerReplaced ends the attempts whose query was not yet written to an engine, as it was removed or another one is listed with
+// its address, and closes the idle connections. Queries that were written may be running on the new one.
+func (e *engine) ServerReplaced(server string) {
+	e.fleet.finishUnsent(server)
 	for len(e.idle) > 0 {
 		e.idle[0].close()
 	}
@@ -142,10 +138,10 @@
 	cn.transport.Write(b)
 }
 
-// makeAvailable keeps the connection idle for the next call, or closes it if the engine was removed or has another address.
+// makeAvailable keeps the connection idle for the next call, or closes it if it was opened for an earlier engine.
 func (cn *conn) makeAvailable() {
 	e := cn.engine
-	if e.Removed || cn.addr != e.Addr {
+	if cn.server == "" || cn.server != e.ServerID() {
 		cn.close()
 		return
 	}
@@ -208,10 +204,6 @@
 		c.Close()
 		return
 	}
-	if cn.addr != cn.engine.Addr { // another engine may listen at the old address by now, and would run the query
-		cn.closeAndFail(transport.ConnRefused)
-		return
-	}
 	cn.writeCall(cn.call)
 }
 
@@ -235,18 +227,18 @@
 		return
 	}
 	if cn.call == nil {
-		fleet.Faults.Add("engine-unasked", "engine", cn.engine.ID, "addr", cn.addr, "bytes", len(b))
+		fleet.Faults.Add("engine-unasked", "engine", cn.server, "addr", cn.engine.Addr, "bytes", len(b))
 		cn.close()
 		return
 	}
 	r, err := cn.parseInput(b)
 	if errors.Is(err, errBufferLimit) {
-		fleet.Faults.Add("result-no-room", "engine", cn.engine.ID, "bytes", len(cn.receivedBody))
+		fleet.Faults.Add("result-no-room", "engine", cn.server, "bytes", len(cn.receivedBody))
 		cn.closeAndFail(transport.NoDescriptor)
 		return
 	}
 	if err != nil {
-		fleet.Faults.Add("engine-garbled", "engine", cn.engine.ID, "addr", cn.addr, "error", err)
+		fleet.Faults.Add("engine-garbled", "engine", cn.server, "addr", cn.engine.Addr, "error", err)
 		cn.closeAndFail(transport.Malformed)
 		return
 	}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -1,100 +1,124 @@
-// Package directory records the ids and addresses of servers, for any kind of server. A server is identified by its id, and an
-// address belongs to the server that was last listed with it.
+// Package directory records which servers are listed and at which addresses, for any kind of server.
+//
+// A server is a process, identified by its id. An endpoint is an address with all connections to it, whichever process listens
+// there. The list is late: a new server may listen at the address of one that has ended long before the list names either event,
+// and it then runs what is sent to the old server. So whatever was sent to an address belongs to the endpoint, not to the server
+// that the list named at that time.
 package directory
 
 import "slices"
 
-// Record holds what the discovery service states about a server. Server types embed it.
-type Record struct {
-	ID      string
-	Addr    string // "" if unknown, or once another server has the address
-	Removed bool   // no longer listed
+// Endpoint is the address of listed servers. Types that hold the connections to an address embed it.
+type Endpoint struct {
+	Addr    string
+	servers []string // ids of the listed servers that have the address; the last one was listed last
 }
 
-// DirectoryRecord returns the record itself, as Server requires.
-func (r *Record) DirectoryRecord() *Record { return r }
+// ServerID returns the id of the server that is taken to listen at the address, or "" if no listed server has the address.
+func (e *Endpoint) ServerID() string {
+	if len(e.servers) == 0 {
+		return ""
+	}
+	return e.servers[len(e.servers)-1]
+}
 
-// Server is a server with its connections, as a protocol implements it.
-type Server interface {
+// DirectoryEndpoint returns the endpoint itself, as Connections requires.
+func (e *Endpoint) DirectoryEndpoint() *Endpoint { return e }
+
+// Connections holds the connections to an endpoint, as a protocol implements it.
+type Connections interface {
 	comparable
-	DirectoryRecord() *Record
-	CloseIdle()    // closes idle connections: the server was removed, or its address changes
-	AddressTaken() // another server has its address: fails what waits for this one
-	Unused() bool  // reports whether it has no open connection or running attempt left
+	DirectoryEndpoint() *Endpoint
+	// ServerReplaced is called when another server is taken to listen at the address, or none. What was not yet sent to the
+	// server with the given id must not be sent any more, and no connection opened for it may be used for another server.
+	ServerReplaced(id string)
+	Unused() bool // reports whether there is no open connection and no running attempt left
 }
 
-// Directory holds all servers that a protocol uses. Its zero value is empty.
-type Directory[S Server] struct {
-	byID   map[string]S
-	order  []S // in the order in which they were first listed
-	byAddr map[string]S
+// Directory holds the listed servers and all endpoints that are listed or in use. Its zero value is empty.
+type Directory[C Connections] struct {
+	byServer map[string]C // by the ids of the listed servers
+	byAddr   map[string]C
+	order    []C // in the order in which they were created
 }
 
-// Get returns the server of an id.
-func (d *Directory[S]) Get(id string) (s S, ok bool) {
-	s, ok = d.byID[id]
-	return s, ok
+// Get returns the endpoint at which a server listens. ok is false if the server is not listed, or if another server was listed
+// with its address later.
+func (d *Directory[C]) Get(id string) (c C, ok bool) {
+	listed, known := d.byServer[id]
+	if !known || listed.DirectoryEndpoint().ServerID() != id {
+		return c, false
+	}
+	return listed, true
 }
 
-// All returns the servers in the order in which they were first listed.
-func (d *Directory[S]) All() []S { return d.order }
+// All returns the endpoints in the order in which they were created.
+func (d *Directory[C]) All() []C { return d.order }
 
-// Update records the address of a server, or that it was removed. create is called for a server that was not known.
-func (d *Directory[S]) Update(id, addr string, removed bool, create func(Record) S) {
-	if d.byID == nil {
-		d.byID, d.byAddr = map[string]S{}, map[string]S{}
+// Update records the address of a listed server; "" keeps the one recorded before. create is called for a new address.
+//
+// Of several listed servers with the same address the one that was first listed with it last is taken to listen there: it is the
+// newest. Later news of the older ones are late and don't change that.
+func (d *Directory[C]) Update(id, addr string, create func(Endpoint) C) {
+	current, known := d.byServer[id]
+	if addr == "" || known && current.DirectoryEndpoint().Addr == addr {
+		return
 	}
-	s, known := d.byID[id]
-	if !known {
-		if removed {
-			return
-		}
-		s = create(Record{ID: id})
-		d.byID[id], d.order = s, append(d.order, s)
+	if known {
+		d.Remove(id)
 	}
-	record := s.DirectoryRecord()
-	if addr != "" && addr != record.Addr {
-		// A new server may have the address of a removed one. The old server loses the address, so that none of its
-		// connections and queries is used for the new server.
-		if owner, taken := d.byAddr[addr]; taken {
-			owner.DirectoryRecord().Addr = ""
-			owner.CloseIdle()
-			owner.AddressTaken()
-		}
-		d.releaseAddress(s)
-		s.CloseIdle()
-		record.Addr, d.byAddr[addr] = addr, s
+	if d.byServer == nil {
+		d.byServer, d.byAddr = map[string]C{}, map[string]C{}
+	}
+	c, exists := d.byAddr[addr]
+	if !exists {
+		c = create(Endpoint{Addr: addr})
+		d.byAddr[addr], d.order = c, append(d.order, c)
 	}
-	if record.Removed = removed; removed {
-		s.CloseIdle()
-		d.RemoveIfUnused(s)
+	d.byServer[id] = c
+	endpoint := c.DirectoryEndpoint()
+	previous := endpoint.ServerID()
+	endpoint.servers = append(endpoint.servers, id)
+	if exists {
+		c.ServerReplaced(previous)
 	}
 }
 
+// Remove records that a server is no longer listed. Its endpoint is deleted once it is unused, unless another listed server has
+// the address.
+func (d *Directory[C]) Remove(id string) {
+	c, known := d.byServer[id]
+	if !known {
+		return
+	}
+	delete(d.byServer, id)
+	endpoint := c.DirectoryEndpoint()
+	wasCurrent := endpoint.ServerID() == id
+	endpoint.servers = slices.DeleteFunc(endpoint.servers, func(server string) bool { return server == id })
+	if wasCurrent {
+		c.ServerReplaced(id)
+	}
+	d.RemoveIfUnused(c)
+}
+
 // RemoveUnlisted applies a complete list: servers whose ids are not in it are removed.
-func (d *Directory[S]) RemoveUnlisted(listed map[string]bool) {
-	for _, s := range slices.Clone(d.order) {
-		if record := s.DirectoryRecord(); !listed[record.ID] && !record.Removed {
-			d.Update(record.ID, "", true, nil)
+func (d *Directory[C]) RemoveUnlisted(listed map[string]bool) {
+	for _, c := range slices.Clone(d.order) {
+		for _, id := range slices.Clone(c.DirectoryEndpoint().servers) {
+			if !listed[id] {
+				d.Remove(id)
+			}
 		}
 	}
 }
 
-// RemoveIfUnused deletes a removed server from the directory if it is unused, and reports whether it did.
-func (d *Directory[S]) RemoveIfUnused(s S) bool {
-	record := s.DirectoryRecord()
-	if !record.Removed || !s.Unused() || d.byID[record.ID] != s {
+// RemoveIfUnused deletes an endpoint without a listed server if it is unused, and reports whether it did.
+func (d *Directory[C]) RemoveIfUnused(c C) bool {
+	endpoint := c.DirectoryEndpoint()
+	if endpoint.ServerID() != "" || !c.Unused() || d.byAddr[endpoint.Addr] != c {
 		return false
 	}
-	delete(d.byID, record.ID)
-	d.releaseAddress(s)
-	d.order = slices.DeleteFunc(slices.Clone(d.order), func(x S) bool { return x == s })
+	delete(d.byAddr, endpoint.Addr)
+	d.order = slices.DeleteFunc(slices.Clone(d.order), func(x C) bool { return x == c })
 	return true
 }
-
-// releaseAddress frees the address of a server, unless another server has taken it over.
-func (d *Directory[S]) releaseAddress(s S) {
-	if addr := s.DirectoryRecord().Addr; d.byAddr[addr] == s {
-		delete(d.byAddr, addr)
-	}
-}
--- a/internal/node/order_key_test.go
+++ b/internal/node/order_key_test.go
@@ -409,13 +409,7 @@
 		network.schedule(network.rand.Float64()*3000, func() { e.announce(choice.Draining) })
 		network.schedule(3000+network.rand.Float64()*3000, func() { e.draining = false; e.announce(choice.Healthy) })
 	case 3: // its process dies, and a new one starts
-		for _, c := range slices.Clone(e.conns) {
-			c.closeByEngine(transport.ConnReset)
-		}
-		for _, id := range slices.Sorted(maps.Keys(e.queries)) {
-			e.endQuery(id, unknownQueryAnswer, true)
-		}
-		e.finalAnswers, e.unsentNotices, e.down = map[string]string{}, map[string]int{}, true
+		e.killProcess()
 		network.schedule(100+network.rand.Float64()*2000, func() { e.down = false })
 	case 5: // its process is stopped: it is unreachable, and its queries neither end nor are dropped
 		if network.now < e.unreachableUntil {
@@ -435,16 +429,32 @@
 	}
 }
 
+// killProcess ends the process: its connections are reset and its queries are gone.
+func (e *engineStub) killProcess() {
+	for _, c := range slices.Clone(e.conns) {
+		c.closeByEngine(transport.ConnReset)
+	}
+	for _, id := range slices.Sorted(maps.Keys(e.queries)) {
+		e.endQuery(id, unknownQueryAnswer, true)
+	}
+	e.finalAnswers, e.unsentNotices, e.down = map[string]string{}, map[string]int{}, true
+}
+
 // announce passes the worker group's status to the coordinator, as the discovery service would.
-func (e *engineStub) announce(status choice.Status) {
+func (e *engineStub) announce(status choice.Status) { e.announceAs(e.id, status) }
+
+// announceAs passes the status of a worker group that has, or once had, the address.
+func (e *engineStub) announceAs(id string, status choice.Status) {
 	e.network.node.Coordinator.UpdateEngines(false, []coordinator.ListedEngine{{
-		Engine: choice.Engine{ID: e.id, Zone: "room-a", Kind: "std-12", Size: 1, Status: status}, Addr: e.addr}})
+		Engine: choice.Engine{ID: id, Zone: "room-a", Kind: "std-12", Size: 1, Status: status}, Addr: e.addr}})
 }
 
 // runWithFaults sends 150 loads with 4 order keys to a coordinator whose worker groups suffer faults. lateness holds, for each
 // request, the time in ms from its limit to its answer, negative if the answer came before the limit; -1 also means a
-// client that disconnected, and 0 for a missing answer. served is the number of requests that succeeded.
-func runWithFaults(t *testing.T, seed int64) (network *faultyNetwork, lateness []float64, served int) {
+// client that disconnected, and 0 for a missing answer. served is the number of requests that succeeded. injectFault causes a
+// random fault at a worker group and is called now and then for each.
+func runWithFaults(t *testing.T, seed int64, injectFault func(e *engineStub)) (network *faultyNetwork, lateness []float64,
+	served int) {
 	c := configtest.Example(t)
 	sim := &simulation{t: t, now: startTime, deadlines: deadline.New(), rand: rand.New(rand.NewSource(seed))}
 	network = &faultyNetwork{simulation: sim, arrivalOrder: map[string]int{}, orderKeys: map[string]string{},
@@ -462,7 +472,7 @@
 		sim.schedule(0, func() { e.announce(choice.Healthy) })
 		for at := 500.0; at < 30000; at += 500 + sim.rand.Float64()*8000 {
 			if sim.rand.Intn(3) > 0 {
-				sim.schedule(at, e.injectFault)
+				sim.schedule(at, func() { injectFault(e) })
 			}
 		}
 	}
@@ -527,9 +537,16 @@
 // faults of the network and the worker groups, requests of an order key must run in order and one at a time, each request must
 // have one attempt at a time, the order key must pause after a cancelled attempt, and clients must be answered in time.
 func TestOrderKeysUnderFaults(t *testing.T) {
+	checkUnderFaults(t, 40, (*engineStub).injectFault)
+}
+
+// checkUnderFaults plays runWithFaults with the given number of seeds, checks that the rules hold, and checks that no attempt or
+// order key is left in the end.
+func checkUnderFaults(t *testing.T, seeds int64, injectFault func(e *engineStub)) {
+	t.Helper()
 	total := 0
-	for seed := int64(1); seed <= 40; seed++ {
-		network, lateness, served := runWithFaults(t, seed)
+	for seed := int64(1); seed <= seeds; seed++ {
+		network, lateness, served := runWithFaults(t, seed, injectFault)
 		for i, violation := range network.violations {
 			if i < 3 {
 				t.Errorf("seed %d: %s", seed, violation)
@@ -551,7 +568,7 @@
 				network.node.Coordinator.Unanswered(), network.node.inFlight())
 		}
 	}
-	if total < 2000 { // of 6,000; a coordinator that never sends a request would violate no other rule
+	if total < 50*int(seeds) { // of 150 a seed; a coordinator that never sends a request would violate no other rule
 		t.Errorf("only %d requests were served", total)
 	}
 }
--- a/internal/workergroup/attempt.go
+++ b/internal/workergroup/attempt.go
@@ -48,7 +48,7 @@
 // begin registers the attempt and starts the call that posts its query.
 func (a *attempt) begin() {
 	a.outcome = coordinator.Outcome{Request: a.ID, Engine: a.Engine, Attempt: a.Number}
-	if a.group == nil || a.group.Addr == "" {
+	if a.group == nil {
 		a.finish(transport.Unreachable)
 		return
 	}
@@ -147,8 +147,6 @@
 		switch {
 		case r != nil:
 			a.processResponse(c, r)
-		case reason == transport.ConnRefused && a.group.replaced():
-			a.finish(transport.ProcessDied)
 		case reason == transport.Unreachable || reason == transport.NoAnswer:
 			a.pollAfter(retryPause)
 		default:
@@ -306,8 +304,6 @@
 		done: func(r *response, reason transport.EndReason) {
 			logs.Trace("page", a.ID, "engine", a.Engine, "page", page, "answered", r != nil, "end", reason)
 			switch {
-			case reason == transport.ConnRefused && a.group.replaced():
-				a.finish(transport.ProcessDied)
 			case r == nil:
 				retry(transport.ConnReset)
 			case r.status == 200 && r.pageNumber == page && validRows(r.body, false):
@@ -395,7 +391,7 @@
 			"fixed", c.writtenAfterPostSettled)
 		switch {
 		case a.finished:
-		case a.endReported, status == 204 && c.writtenAfterPostSettled, reason == transport.ConnRefused && a.group.replaced():
+		case a.endReported, status == 204 && c.writtenAfterPostSettled:
 			a.finish(a.cancelReason)
 		case status == 204 && !a.postSettled(): // another DELETE is sent once the POST is settled
 		case status == 204:
--- a/internal/workergroup/end_proof.go
+++ b/internal/workergroup/end_proof.go
@@ -19,7 +19,6 @@
 //     established (setting connectTimeoutMs).
 //   - The coordinator aborted the POST's connection, and any segment that the network can still hold has exceeded its maximum
 //     lifetime.
-//   - According to the discovery service, another process listens at the address.
 //
 // Then one of these proves that the attempt has ended:
 //   - Final response: the response to the POST, or to a poll written after the POST was settled, was final for the query. (The
@@ -28,19 +27,22 @@
 //     a rejection without effect. "Unknown query" or a lost page may mean that the query was dropped only just now: the query is
 //     then deleted, so that both sides consider it ended from the same moment.
 //   - Deleted: the response to a DELETE written after the POST was settled has status 204.
-//   - Replaced: another process listens at the address.
 //   - Dropped: no call that keeps the query alive can still arrive, the last one was settled at least unpolledTimeout
 //     ago, and the worker group has responded to a call written after that time had passed, or refuses connections. An
 //     unresponsive worker group drops nothing, and from outside it can't be distinguished from one that is cut off from
 //     the network.
 //
+// The proofs hold whichever process at the address responds. An address is reused only after the process there has ended, and its
+// queries with it; a query that arrived later runs on the new process, which is the one that responds.
+//
 // There is one limit without a proof: once maxUnresponsive has passed since the latest keep-alive call was written and none can
 // still arrive, the query is considered dropped.
 //
 // Nothing else is proof: not silence, not a refused connection (a draining worker group refuses connections and goes on running
-// its queries), not a reset, not a list from which the worker group has disappeared, not an unreadable response. Until there
-// is proof, the attempt keeps blocking its order key; its client is answered in time regardless. Even if a worker group stays
-// silent forever, the key is freed in the end, as the connections to it are aborted after maxConnSilence.
+// its queries), not a reset, not a list from which the worker group has disappeared, not a list that names another worker group at
+// the address (the list is late, so that one may have received the query in the first place), not an unreadable response. Until
+// there is proof, the attempt keeps blocking its order key; its client is answered in time regardless. Even if a worker group
+// stays silent forever, the key is freed in the end, as the connections to it are aborted after maxConnSilence.
 
 // query tracks the query of one request on one worker group: the calls that keep it alive there, over all attempts of the
 // request on that worker group.
--- a/internal/workergroup/end_proof_test.go
+++ b/internal/workergroup/end_proof_test.go
@@ -103,7 +103,7 @@
 	for _, g := range fleet.groups.All() {
 		if len(g.queries) != 0 || len(g.silent) != 0 || len(g.waiting) != 0 {
 			t.Errorf("%s: %d queries, %d silent connections and %d calls are left",
-				g.ID, len(g.queries), len(g.silent), len(g.waiting))
+				g.Addr, len(g.queries), len(g.silent), len(g.waiting))
 		}
 	}
 	if _, ok := queue.Next(); ok {
--- a/internal/workergroup/fleet.go
+++ b/internal/workergroup/fleet.go
@@ -36,8 +36,8 @@
 	maxResultBytes         = 48000  // of a whole result
 )
 
-// Fleet holds the worker groups named by the discovery service, and those that have disappeared from it but still have
-// attempts or connections. It implements coordinator.Backend.
+// Fleet holds the worker groups named by the discovery service, and the addresses of earlier ones that still have attempts or
+// connections. It implements coordinator.Backend.
 type Fleet struct {
 	Dialer          transport.Dialer
 	Deadlines       *deadline.Queue
@@ -62,25 +62,21 @@
 
 // Update adds or updates a listed worker group. If it is not healthy, attempts that were not yet sent to it are ended.
 func (f *Fleet) Update(e coordinator.ListedEngine) {
+	if e.Status == choice.Removed {
+		f.groups.Remove(e.ID)
+		return
+	}
 	if g, known := f.groups.Get(e.ID); known && e.Status != choice.Healthy {
-		g.finishUnsent()
+		g.finishUnsent(e.ID)
 	}
-	f.groups.Update(e.ID, e.Addr, e.Status == choice.Removed,
-		func(record directory.Record) *group { return &group{fleet: f, Record: record} })
+	f.groups.Update(e.ID, e.Addr, func(endpoint directory.Endpoint) *group { return &group{fleet: f, Endpoint: endpoint} })
 }
 
 // RemoveUnlisted applies a complete list: worker groups that are not in it are removed, and attempts that were not yet sent to
 // them are ended.
-func (f *Fleet) RemoveUnlisted(listed map[string]bool) {
-	for _, g := range f.groups.All() {
-		if !listed[g.ID] {
-			g.finishUnsent()
-		}
-	}
-	f.groups.RemoveUnlisted(listed)
-}
+func (f *Fleet) RemoveUnlisted(listed map[string]bool) { f.groups.RemoveUnlisted(listed) }
 
-// removeIfUnused deletes a removed worker group once it has no connection, attempt or waiting call.
+// removeIfUnused deletes a group without a listed worker group once it has no connection, attempt or waiting call.
 func (f *Fleet) removeIfUnused(g *group) {
 	if f.groups.RemoveIfUnused(g) {
 		f.Deadlines.Cancel(&g.redialTimer)
@@ -168,7 +164,7 @@
 		}
 		f.Listener.ProbeEnded(outcome)
 	}
-	if g == nil || g.Addr == "" {
+	if g == nil {
 		done(nil, transport.Unreachable)
 		return
 	}
--- a/internal/workergroup/pool.go
+++ b/internal/workergroup/pool.go
@@ -27,14 +27,16 @@
 	timer                   deadline.Entry    // ends the wait for a connection or for the response, or settles the call
 }
 
-// group holds the connections to one worker group and the calls that wait for a connection.
+// group holds the connections to the address of a worker group, the calls that wait for a connection, and the queries that were
+// sent there. If another worker group is listed with the address, both share the group: the queries may run on either.
 type group struct {
-	directory.Record
+	directory.Endpoint
 	fleet          *Fleet
 	idle           []*conn        // most recently used last
 	respondingConn *conn          // the connection whose response is being processed
 	waiting        []*call        // in order of arrival
-	dialingCount   int            // connections being established
+	generation     int            // counts how often another worker group was listed with the address
+	dialingCount   int            // connections of this generation being established
 	pausingCount   int            // connections that pause after a response and are then free for the next call
 	connCount      int            // all connections, including those being established
 	silent         []*conn        // connections whose keep-alive call timed out or got a malformed response, longest silent first
@@ -49,8 +51,9 @@
 // conn is a connection to a worker group.
 type conn struct {
 	group         *group
-	number        int // for the log
-	addr          string
+	number        int    // for the log
+	server        string // id of the worker group that was listed with the address when the connection was dialed, for the log
+	generation    int    // of the group when the connection was dialed
 	transport     transport.Conn
 	parser        parser
 	call          *call
@@ -63,10 +66,6 @@
 // start writes a call to an idle connection, or queues it until a connection is established or becomes free.
 func (g *group) start(c *call) {
 	c.group = g
-	if g.Addr == "" { // the process has ended: another one listens at its address
-		c.done(nil, transport.ConnRefused)
-		return
-	}
 	if cn := g.respondingConn; cn != nil {
 		g.respondingConn = nil
 		cn.writeCall(c)
@@ -104,7 +103,7 @@
 	g.connCount++
 	g.fleet.connCount++
 	g.fleet.dialedCount++
-	g.fleet.Dialer.Dial(g.Addr, &conn{group: g, number: g.fleet.dialedCount, addr: g.Addr})
+	g.fleet.Dialer.Dial(g.Addr, &conn{group: g, number: g.fleet.dialedCount, server: g.ServerID(), generation: g.generation})
 }
 
 // failWaiting fails a call that still waits for a connection.
@@ -119,18 +118,13 @@
 // waiting for an open connection.
 func (g *group) failFirstWaiting(reason transport.EndReason) {
 	for _, c := range g.waiting {
-		if !c.waitsForConn || reason != transport.ConnRefused || g.replaced() {
+		if !c.waitsForConn || reason != transport.ConnRefused {
 			g.failWaiting(c, reason)
 			return
 		}
 	}
 }
 
-// replaced reports whether another process listens at the address, which proves that this group's process has ended.
-// Neither a refused nor a reset connection proves that: a draining worker group also refuses connections and goes on running
-// its queries.
-func (g *group) replaced() bool { return g.Addr == "" }
-
 // removeWaiting removes a call from the waiting calls and reports whether it was among them.
 func (g *group) removeWaiting(c *call) bool {
 	for i, x := range g.waiting {
@@ -143,11 +137,11 @@
 	return false
 }
 
-// finishUnsent ends the attempts whose POST still waits for a connection, as the worker group accepts no new queries.
-func (g *group) finishUnsent() {
+// finishUnsent ends the attempts on a worker group whose POST still waits for a connection, as it accepts no new queries.
+func (g *group) finishUnsent(server string) {
 	for _, id := range slices.Sorted(maps.Keys(g.queries)) {
 		for _, a := range slices.Clone(g.queries[id].attempts) {
-			if a.postedAt == 0 {
+			if a.postedAt == 0 && a.Engine == server {
 				a.finish(transport.Expired)
 			}
 		}
@@ -157,22 +151,13 @@
 // Unused reports whether the group has no connection, attempt or waiting call.
 func (g *group) Unused() bool { return g.connCount == 0 && g.attemptCount == 0 && len(g.waiting) == 0 }
 
-// AddressTaken ends cancelled attempts and waiting calls, as another process now has the group's address.
-func (g *group) AddressTaken() {
-	for _, id := range slices.Sorted(maps.Keys(g.queries)) {
-		for _, a := range slices.Clone(g.queries[id].attempts) {
-			if a.cancelled {
-				a.finish(a.cancelReason)
-			}
-		}
-	}
-	for len(g.waiting) > 0 {
-		g.failWaiting(g.waiting[0], transport.ConnRefused)
-	}
-}
-
-// CloseIdle closes the idle connections, as the worker group was removed or another process has its address.
-func (g *group) CloseIdle() {
+// ServerReplaced ends the attempts that were not yet sent to a worker group, as it was removed or another one is listed with its
+// address, and closes the idle connections. Queries that were sent may be running on the new one: nothing proves that they have
+// ended.
+func (g *group) ServerReplaced(server string) {
+	g.generation++
+	g.dialingCount = 0
+	g.finishUnsent(server)
 	for len(g.idle) > 0 {
 		cn := g.idle[0]
 		cn.removeIdle()
@@ -249,7 +234,7 @@
 // maxSegmentLifetime, so the call is settled only after that.
 func (cn *conn) abort() {
 	f := cn.group.fleet
-	f.Faults.Add("engine-aborted", "engine", cn.group.ID, "addr", cn.addr, "silent", f.Now()-cn.call.writtenAt)
+	f.Faults.Add("engine-aborted", "engine", cn.server, "addr", cn.group.Addr, "silent", f.Now()-cn.call.writtenAt)
 	cn.transport.Abort()
 	cn.detach()
 	c := cn.call
@@ -259,10 +244,10 @@
 }
 
 // makeAvailable uses the connection for the next waiting call, after a pause in ms, or adds it to the idle connections. It
-// closes a connection of a worker group that was removed or has another address.
+// closes a connection that was opened for an earlier worker group, and one that is not needed any more.
 func (cn *conn) makeAvailable(pause float64) {
 	g := cn.group
-	if g.Removed || cn.addr != g.Addr {
+	if cn.generation != g.generation || g.ServerID() == "" && len(g.waiting) == 0 {
 		cn.close()
 		return
 	}
@@ -303,6 +288,13 @@
 	}
 }
 
+// endDialing stops counting the connection among those being established.
+func (cn *conn) endDialing() {
+	if cn.generation == cn.group.generation {
+		cn.group.dialingCount--
+	}
+}
+
 // removeIdle stops the connection's timer and removes it from the idle connections, if it is among them.
 func (cn *conn) removeIdle() {
 	cn.group.fleet.Deadlines.Cancel(&cn.timer)
@@ -338,7 +330,7 @@
 
 // Opened implements transport.Handler: it makes the established connection available for calls.
 func (cn *conn) Opened(transportConn transport.Conn) {
-	cn.group.dialingCount--
+	cn.endDialing()
 	cn.group.refusing = false
 	cn.transport = transportConn
 	cn.makeAvailable(0)
@@ -352,14 +344,14 @@
 		return
 	}
 	if cn.call == nil {
-		f.Faults.Add("engine-unasked", "engine", cn.group.ID, "addr", cn.addr, "bytes", len(b))
+		f.Faults.Add("engine-unasked", "engine", cn.server, "addr", cn.group.Addr, "bytes", len(b))
 		cn.removeIdle()
 		cn.close()
 		return
 	}
 	r, err := cn.parser.feed(b)
 	if err != nil {
-		f.Faults.Add("engine-garbled", "engine", cn.group.ID, "addr", cn.addr, "bytes", len(b), "error", err)
+		f.Faults.Add("engine-garbled", "engine", cn.server, "addr", cn.group.Addr, "bytes", len(b), "error", err)
 		cn.handleMalformed()
 		return
 	}
@@ -436,7 +428,7 @@
 		cn.discard()
 		c := cn.call
 		if c != nil && c.keepsAlive != nil {
-			logs.Trace("closed-under", c.keepsAlive.id, "engine", cn.group.ID, "end", reason,
+			logs.Trace("closed-under", c.keepsAlive.id, "engine", cn.server, "end", reason,
 				"after", cn.group.fleet.Now()-c.writtenAt)
 			if !wasSilent {
 				c.settle()
@@ -452,7 +444,7 @@
 		return
 	}
 	g := cn.group
-	g.dialingCount--
+	cn.endDialing()
 	cn.detach()
 	g.refusing = reason == transport.ConnRefused
 	if g.refusing {
@@ -460,7 +452,7 @@
 		g.fleet.Deadlines.Set(&g.redialTimer, g.fleet.Now()+refusedPause)
 	}
 	// If more calls wait than connections are being established, this connection counts as the one of the first waiting call.
-	if len(g.waiting) > g.dialingCount && cn.addr == g.Addr {
+	if len(g.waiting) > g.dialingCount && cn.generation == g.generation {
 		// A connection that was reset while being established says nothing about the worker group, so another one is opened.
 		if g.failedDials++; reason == transport.ConnRefused || reason == transport.Unreachable ||
 			g.failedDials > maxFailedDials {
