Count what ClickHouse clients' requests hold once unpacked, and refuse the rest

Cause: the limit on what all sessions hold was checked with the packed length, and the answer for the unpacked one was ignored, so requests that did not fit were kept uncounted and let further ones in. Filling in query parameters had no limit: a request of 138 KB held 400 MB. A text without parameters was copied, and data beside its query was held twice and counted once.

Change: a body is unpacked, and parameters are filled in, up to what is left of the memory for all requests. An open request counts with all it holds; what does not fit is refused (503, code 241) before the scheduler sees it, on a connection that stays open. Every reservation is checked. Texts without parameters are not copied, and the bytes to a worker group are built once. The share of memory is 10%, as the count is true now (5% before).

The counts in TestBodiesAreBoundedTogether include the bytes of the parameters now.

--- /dev/null
+++ b/cmd/thymeway/memory_test.go
@@ -0,0 +1,127 @@
+package main
+
+import (
+	"bytes"
+	"compress/gzip"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"thymeway/internal/standin"
+)
+
+// ownMemoryMB returns the memory of a process in MB, without pages of files.
+func ownMemoryMB(t *testing.T, pid int) float64 {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, line := range strings.Split(string(status), "\n") {
+		var kb float64
+		if _, err := fmt.Sscanf(line, "RssAnon: %f kB", &kb); err == nil {
+			return kb / 1024
+		}
+	}
+	t.Fatal("the process has no RssAnon")
+	return 0
+}
+
+// packedInsert returns an INSERT of some 900 KB, packed by gzip.
+func packedInsert(t *testing.T) []byte {
+	var packed bytes.Buffer
+	z := gzip.NewWriter(&packed)
+	text := "INSERT INTO sales_1.stock VALUES " + strings.Repeat("(17,'branch-017','2026-12-04','in stock'),", 22000) + "(1,'a','2026-12-04','b')"
+	if _, err := io.WriteString(z, text); err != nil {
+		t.Fatal(err)
+	}
+	if err := z.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return packed.Bytes()
+}
+
+// Guards against a process that is killed for its memory: hundreds of packed inserts come at once, each below the limit on one
+// body. Each must be answered, some of them served, and the process must stay within the memory of its configuration.
+func TestPackedInsertsExceedProcessMemory(t *testing.T) {
+	const memoryMB, inserts = 64, 150
+	var groups []string
+	for i := range 6 {
+		_, addr := startGroup(t, func(standin.Query) standin.Answer { return standin.Answer{RunTime: 800 * time.Millisecond} })
+		groups = append(groups, listedGroup(fmt.Sprint("s-", i), addr))
+	}
+	dir, pgAddr, httpAddr := t.TempDir(), freeAddr(t), freeAddr(t)
+	file, log := filepath.Join(dir, "config.json"), &strings.Builder{}
+	writeConfig(t, file, groups, "127.0.0.1:5499", pgAddr, "127.0.0.1:8599", freeAddr(t),
+		`"memory_mb": 192`, fmt.Sprintf(`"memory_mb": %d`, memoryMB))
+	localFile := filepath.Join(dir, "thymeway.ini")
+	if err := os.WriteFile(localFile, []byte("[clickhouse]\nlisten = "+httpAddr+"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	program := exec.Command(os.Args[0])
+	program.Env = append(os.Environ(), "THYMEWAY_AS_PROGRAM=1", "EDGE_CONFIG="+file, "THYMEWAY_INI="+localFile)
+	program.Stderr = log
+	if err := program.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = program.Process.Kill()
+		_ = program.Wait()
+		if t.Failed() {
+			t.Logf("log of the program:\n%s", log)
+		}
+	})
+	client := &http.Client{Timeout: 30 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for end := time.Now().Add(30 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		if r, err := client.Get("http://" + httpAddr + "/ping"); err == nil {
+			_ = r.Body.Close()
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("the program does not start")
+		}
+	}
+	body, statuses, all := packedInsert(t), make([]int, inserts), sync.WaitGroup{}
+	for i := range inserts {
+		all.Go(func() {
+			request, err := http.NewRequest("POST", fmt.Sprintf("http://%s/?user=acme&order_key=k%d", httpAddr, i), bytes.NewReader(body))
+			if err != nil {
+				return
+			}
+			request.Header.Set("Content-Encoding", "gzip")
+			if r, err := client.Do(request); err == nil {
+				_, _ = io.Copy(io.Discard, r.Body)
+				_ = r.Body.Close()
+				statuses[i] = r.StatusCode
+			}
+		})
+	}
+	answered := make(chan struct{})
+	go func() {
+		all.Wait()
+		close(answered)
+	}()
+	peakMB := 0.0
+	for done := false; !done; {
+		select {
+		case <-answered:
+			done = true
+		case <-time.After(2 * time.Millisecond):
+		}
+		peakMB = max(peakMB, ownMemoryMB(t, program.Process.Pid))
+	}
+	counts := map[int]int{}
+	for _, status := range statuses {
+		counts[status]++
+	}
+	t.Logf("peak %.0f MB, answers by status %v", peakMB, counts)
+	if peakMB > memoryMB || counts[0] > 0 || counts[200] == 0 {
+		t.Errorf("peak %.0f MB of %d, answers by status %v", peakMB, memoryMB, counts)
+	}
+}
--- a/internal/chhttp/format_test.go
+++ b/internal/chhttp/format_test.go
@@ -152,7 +152,7 @@
 	want := catalog.Recognize("SELECT a FROM sales_3.t WHERE b = 'x' AND c = 1", shape.ClickHouse, 0).ID
 	rapid.Check(t, func(t *rapid.T) {
 		value := string(rapid.SliceOfN(rapid.SampledFrom([]byte(`a'"\;-/*#()`+"`\n")), 0, 12).Draw(t, "value"))
-		text, err := shape.SubstituteParameters("SELECT a FROM sales_3.t WHERE b = {v:String} AND c = {n:UInt8}",
+		text, err := shape.SubstituteParameters("SELECT a FROM sales_3.t WHERE b = {v:String} AND c = {n:UInt8}", 1<<10,
 			func(name, typ string) (string, error) {
 				if name == "n" {
 					return parameterLiteral(name, "5", typ)
--- a/internal/chhttp/request.go
+++ b/internal/chhttp/request.go
@@ -5,6 +5,7 @@
 	"crypto/subtle"
 	"encoding/base64"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"net/url"
 	"slices"
@@ -73,6 +74,12 @@
 	return &exception{code, fmt.Sprintf(format, args...)}
 }
 
+// hasCode reports whether an error is an exception with the code.
+func hasCode(err error, code int) bool {
+	var e *exception
+	return errors.As(err, &e) && e.code == code
+}
+
 // query is a parsed and checked query, with the options for its response.
 type query struct {
 	*coordinator.Request
@@ -206,7 +213,9 @@
 //	class            from the fields in the statement's comment, if present; otherwise from the kind of the statement
 //	idempotency key  insert_deduplication_token; without it, a key derived from the request's ID
 //	order key        the header or setting that the local settings name; without it, the tables that are written
-func (srv *Server) readQuery(head *http1.Head, body []byte) (*query, error) {
+//
+// Its text has at most maxBytes bytes once the body is unpacked and once the parameters are filled in.
+func (srv *Server) readQuery(head *http1.Head, body []byte, maxBytes int) (*query, error) {
 	_, parameters, err := parseTarget(head.Target)
 	if err != nil {
 		return nil, err
@@ -244,8 +253,11 @@
 			return nil, newException(codeBadArguments, "client_protocol_version %.20q", version)
 		}
 	}
-	if body, err = decompressBody(head.Get("content-encoding"), enabled(parameters["decompress"]), body,
-		srv.Config.Local.ClickHouse.MaxBodyBytes); err != nil {
+	body, err = decompressBody(head.Get("content-encoding"), enabled(parameters["decompress"]), body, maxBytes)
+	if hasCode(err, codeTooLarge) {
+		return nil, srv.tooLargeError(maxBytes)
+	}
+	if err != nil {
 		return nil, err
 	}
 	text, data := parameters["query"], []byte(nil)
@@ -254,12 +266,13 @@
 	} else {
 		data = body
 	}
-	return q, srv.fillRequest(q, head, parameters, tenant, text, data)
+	return q, srv.fillRequest(q, head, parameters, tenant, text, data, maxBytes)
 }
 
 // fillRequest creates the request for the coordinator and stores it in the query. data holds the rows of an INSERT that are sent
 // separately from its text.
-func (srv *Server) fillRequest(q *query, head *http1.Head, parameters map[string]string, tenant, text string, data []byte) error {
+func (srv *Server) fillRequest(q *query, head *http1.Head, parameters map[string]string, tenant, text string, data []byte,
+	maxBytes int) error {
 	if strings.Trim(text, " \t\r\n;") == "" {
 		return newException(codeSyntax, "Syntax error: Empty query")
 	}
@@ -299,13 +312,16 @@
 			clickHouse.Settings = append(clickHouse.Settings, [2]string{name, parameters[name]})
 		}
 	}
-	statement, err := shape.SubstituteParameters(text, func(name, typ string) (string, error) {
+	statement, err := shape.SubstituteParameters(text, maxBytes, func(name, typ string) (string, error) {
 		value, ok := queryParams[name]
 		if !ok {
 			return "", newException(codeBadParameter, "Query parameter `%.60s` was not set", name)
 		}
 		return parameterLiteral(name, value, typ)
 	})
+	if errors.Is(err, shape.ErrTextTooLong) {
+		return srv.tooLargeError(maxBytes)
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/chhttp/server.go
+++ b/internal/chhttp/server.go
@@ -57,11 +57,12 @@
 	MaxHeldBytes int  // bytes of requests that all sessions together may hold; 0: no limit
 	ShuttingDown bool // new queries are refused
 
-	startedAt    float64
-	heldBytes    int // bytes of requests that all sessions hold
-	sessions     map[*Session]bool
-	queries      map[string]*Session // sessions with an open query, by its query_id
-	sessionLocks map[string]*Session // sessions with an open query, by its user and session_id
+	startedAt      float64
+	heldBytes      int    // bytes of requests that all sessions hold
+	memoryRefusals uint64 // requests that were refused as they did not fit into MaxHeldBytes
+	sessions       map[*Session]bool
+	queries        map[string]*Session // sessions with an open query, by its query_id
+	sessionLocks   map[string]*Session // sessions with an open query, by its user and session_id
 }
 
 // Start initializes the server. It must be called before Accept.
@@ -146,7 +147,7 @@
 	s.server.Deadlines.Cancel(&s.idleTimer)
 	s.input = append(s.input, b...)
 	if !s.reserveBytes(s.neededBytes()) {
-		s.refuseForMemory()
+		s.refuseUnreadForMemory()
 		return
 	}
 	s.processInput()
@@ -174,7 +175,10 @@
 	if s.closed {
 		return
 	}
-	s.reserveBytes(s.neededBytes()) // not checked, as fewer bytes are usually needed than before
+	if !s.reserveBytes(s.neededBytes()) {
+		s.refuseUnreadForMemory()
+		return
+	}
 	switch maxInput := maxHeadBytes + srv.Config.Local.ClickHouse.MaxBodyBytes; {
 	case len(s.input) > maxInput: // a client that keeps writing while a request is open would use up the memory
 		s.refuseAndClose(413, newException(codeTooLarge, "over %d bytes behind an open request", maxInput))
@@ -224,7 +228,7 @@
 		}
 	}
 	if !s.reserveBytes(s.neededBytes()) {
-		s.refuseForMemory()
+		s.refuseUnreadForMemory()
 		return false
 	}
 	received, used, err := s.bodyDecoder.DecodeAll(s.receivedBody, s.input)
@@ -251,36 +255,6 @@
 	return true
 }
 
-// neededBytes returns the number of bytes that the session holds or is about to receive: unparsed input, the body of a request,
-// an open query.
-func (s *Session) neededBytes() int {
-	n := len(s.input)
-	if s.head != nil {
-		n += max(int(s.head.ContentLength)-len(s.input), len(s.receivedBody))
-	}
-	if s.query != nil {
-		n += len(s.query.Statement)
-	}
-	return n
-}
-
-// refuseForMemory refuses a request that would make all sessions together hold more than MaxHeldBytes.
-func (s *Session) refuseForMemory() {
-	s.refuseAndClose(503, newException(codeMemoryLimit, "the requests of all clients take what memory there is for them"))
-}
-
-// reserveBytes sets the session's share of the server's heldBytes. It returns false, and changes nothing, if the sum would exceed
-// MaxHeldBytes. The limits on one request do not suffice: the requests of a few hundred clients together could use up the memory.
-func (s *Session) reserveBytes(count int) bool {
-	srv := s.server
-	if count > s.countedBytes && srv.MaxHeldBytes > 0 && srv.heldBytes-s.countedBytes+count > srv.MaxHeldBytes {
-		return false
-	}
-	srv.heldBytes += count - s.countedBytes
-	s.countedBytes = count
-	return true
-}
-
 // pause stops the handling of requests for a duration in ms.
 func (s *Session) pause(duration float64) {
 	s.paused = true
@@ -329,13 +303,17 @@
 		s.writeResponse(200, mediaPlain, nil, []byte("Ok.\n"), false)
 		return
 	}
-	q, err := srv.readQuery(head, body)
+	q, err := srv.readQuery(head, body, s.textLimit())
 	var local *result.Set
 	if err == nil {
 		if local, err = s.answerLocally(q); local == nil && err == nil {
 			err = s.checkAdmission(q)
 		}
 	}
+	if errors.Is(err, errNoMemory) {
+		s.refuseForMemory()
+		return
+	}
 	if err != nil {
 		s.refuseRequest(err)
 		return
@@ -347,6 +325,11 @@
 		return
 	}
 	s.query, s.queryStartedAt, s.headSent = q, srv.Now(), false
+	if !s.reserveBytes(s.neededBytes()) {
+		s.query = nil
+		s.refuseForMemory()
+		return
+	}
 	if q.id == "" {
 		q.id = fmt.Sprintf("%08x-%04x-4%03x-8%03x-%012x", srv.Random.Uint32(), srv.Random.Intn(1<<16), srv.Random.Intn(1<<12),
 			srv.Random.Intn(1<<12), srv.Random.Int63n(1<<48))
@@ -430,7 +413,7 @@
 		return nil
 	}
 	s.query = nil
-	s.reserveBytes(s.neededBytes())
+	s.setCountedBytes(min(s.neededBytes(), s.countedBytes))
 	if s.server.queries[q.id] == s {
 		delete(s.server.queries, q.id)
 	}
@@ -623,7 +606,7 @@
 		s.server.Deadlines.Cancel(e)
 	}
 	s.dropQuery()
-	s.reserveBytes(0)
+	s.setCountedBytes(0)
 }
 
 // unescape decodes the escape sequences of a TabSeparated cell.
--- a/internal/chhttp/server_test.go
+++ b/internal/chhttp/server_test.go
@@ -151,11 +151,12 @@
 		t.Errorf("%d bytes are held; the second client receives %q", srv.heldBytes, second.output.String())
 	}
 	first.Received([]byte(strings.Repeat(" ", 28) + "1 + 1 "))
-	if len(coord.open) != 1 || srv.heldBytes != 80 {
+	const parameterBytes = len("user" + "acme") // an open request holds its parameters too
+	if len(coord.open) != 1 || srv.heldBytes != 80+parameterBytes {
 		t.Errorf("%d requests open, %d bytes held", len(coord.open), srv.heldBytes)
 	}
 	first.Received([]byte("GET /ping")) // input received while a request is open counts too
-	if srv.heldBytes != 89 {
+	if srv.heldBytes != 89+parameterBytes {
 		t.Errorf("%d bytes are held with input behind an open request", srv.heldBytes)
 	}
 	first.Refuse(0)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"thymeway/internal/accounting"
+	"thymeway/internal/chhttp"
 	"thymeway/internal/clock"
 	"thymeway/internal/retrystorm"
 	"thymeway/internal/shape"
@@ -29,6 +30,7 @@
 	RetryReasons      []accounting.ReasonRow      // attempts after the first, by how the previous one ended
 	UnservedReasons   []accounting.ReasonRow      // requests refused or failed, by reason
 	Clock             clock.State
+	ClickHouse        chhttp.Memory // of the ClickHouse clients' requests
 }
 
 const (
@@ -71,6 +73,8 @@
 	unserved     = newDesc("given_up_total", "Requests refused or failed, by why.", "class", "why")
 	clockSteps   = newDesc("clock_steps_total", "Steps of the machine's wall clock that were seen.")
 	clockOffset  = newDesc("clock_offset_seconds", "By how much the wall clock was stepped in sum since the start.")
+	heldBytes    = newDesc("clickhouse_held_bytes", "Memory that open requests of ClickHouse clients take.")
+	heldRefusals = newDesc("clickhouse_memory_refusals_total", "Requests of ClickHouse clients refused for lack of memory.")
 	scrapeFailed = newDesc("scrape_failed", "1 where the event loop did not answer in time.")
 )
 
@@ -128,6 +132,8 @@
 	}
 	count(clockSteps, float64(snapshot.Clock.Steps))
 	gauge(clockOffset, snapshot.Clock.Offset/1000)
+	gauge(heldBytes, float64(snapshot.ClickHouse.HeldBytes))
+	count(heldRefusals, float64(snapshot.ClickHouse.Refusals))
 	gauge(unanswered, float64(snapshot.Unanswered))
 	gauge(attemptsInFlight, float64(snapshot.InFlight))
 	gauge(clientConnections, float64(snapshot.ClientConnections))
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"thymeway/internal/accounting"
+	"thymeway/internal/chhttp"
 	"thymeway/internal/clock"
 )
 
@@ -46,7 +47,7 @@
 			RetryReasons: []accounting.ReasonRow{{ReasonKey: accounting.ReasonKey{Class: "load", Reason: "silent"}, Count: 2}},
 			UnservedReasons: []accounting.ReasonRow{
 				{ReasonKey: accounting.ReasonKey{Class: "lookup", Reason: "capacity"}, Count: 5}},
-			Clock: clock.State{Steps: 1, Offset: -3.6e6}}, nil
+			Clock: clock.State{Steps: 1, Offset: -3.6e6}, ClickHouse: chhttp.Memory{HeldBytes: 4096, Refusals: 7}}, nil
 	})
 	for _, want := range []string{`thymeway_requests_total{class="lookup",protocol="clickhouse",tenant="acme"} 3`,
 		`thymeway_answers_total{class="lookup",ending="refused",protocol="clickhouse",tenant="acme"} 1`,
@@ -55,6 +56,7 @@
 		`thymeway_further_attempts_total{after="silent",class="load"} 2`,
 		`thymeway_given_up_total{class="lookup",why="capacity"} 5`,
 		`thymeway_clock_steps_total 1`, `thymeway_clock_offset_seconds -3600`,
+		`thymeway_clickhouse_held_bytes 4096`, `thymeway_clickhouse_memory_refusals_total 7`,
 		`thymeway_doubted_total{why="malformed"} 2`, `thymeway_owed 1`, `thymeway_scrape_failed 0`} {
 		if !strings.Contains(text, want) {
 			t.Errorf("%s is missing in\n%s", want, text)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,7 +33,7 @@
 	engineDescriptorShare = 0.4       // of the descriptors, for connections to worker groups; most others are for clients
 	reservedDescriptors   = 28        // for the program itself, the discovery service and short-lived connections
 	inputMemoryShare      = 0.1       // of the memory, for input from clients that is not processed yet
-	bodyMemoryShare       = 0.05      // of the memory, for bodies of ClickHouse clients; an open one is in memory three times
+	bodyMemoryShare       = 0.1       // of the memory, for requests of ClickHouse clients; while one is sent, its text is in memory once more
 	resultMemoryShare     = 0.15      // of the memory, for results being received from ClickHouse engines
 	minInputBytes         = 16 << 10  // lower bound of the size limit of a client's message
 	maxInputBytes         = 256 << 10 // upper bound of that limit
@@ -180,6 +180,9 @@
 	if n.WallClock != nil {
 		s.Clock = n.WallClock.State()
 	}
+	if n.ClickHouse != nil {
+		s.ClickHouse = n.ClickHouse.Memory()
+	}
 	s.StormStates = map[string]retrystorm.State{"": n.Coordinator.StormState("")}
 	for _, tenant := range n.config.Scheduler.Tenants {
 		s.StormStates[tenant.Name] = n.Coordinator.StormState(tenant.Name)
--- a/internal/shape/text.go
+++ b/internal/shape/text.go
@@ -1,6 +1,9 @@
 package shape
 
-import "strings"
+import (
+	"errors"
+	"strings"
+)
 
 // Span is a half-open byte range of a text.
 type Span struct{ Start, End int }
@@ -68,9 +71,13 @@
 	}
 }
 
+// ErrTextTooLong is returned for a text that is too long once its parameters are replaced.
+var ErrTextTooLong = errors.New("the text with its parameters filled in is too long")
+
 // SubstituteParameters replaces the parameters {name:Type} of a ClickHouse text outside strings and comments. value returns
-// the replacement of a parameter. It is inserted unchanged, so it must be a literal or a quoted name.
-func SubstituteParameters(text string, value func(name, typ string) (string, error)) (string, error) {
+// the replacement of a parameter. It is inserted unchanged, so it must be a literal or a quoted name. A text without parameters is
+// returned as it is. If replacements make a text longer than maxBytes, ErrTextTooLong is returned.
+func SubstituteParameters(text string, maxBytes int, value func(name, typ string) (string, error)) (string, error) {
 	var b strings.Builder
 	last := 0
 	var valueErr error
@@ -87,11 +94,17 @@
 		b.WriteString(text[last:from])
 		b.WriteString(replacement)
 		last = to
-		return true
+		if b.Len()+len(text)-last > maxBytes {
+			valueErr = ErrTextTooLong
+		}
+		return valueErr == nil
 	})
 	if valueErr != nil {
 		return "", valueErr
 	}
+	if last == 0 {
+		return text, nil
+	}
 	b.WriteString(text[last:])
 	return b.String(), nil
 }
--- a/internal/workergroup/fleet.go
+++ b/internal/workergroup/fleet.go
@@ -3,8 +3,6 @@
 package workergroup
 
 import (
-	"strings"
-
 	"thymeway/choice"
 	"thymeway/internal/coordinator"
 	"thymeway/internal/deadline"
@@ -174,13 +172,12 @@
 
 // buildRequest returns the bytes of an HTTP request; headers holds names and values in turn.
 func buildRequest(method, path, host, body string, headers []string) []byte {
-	var b strings.Builder
-	b.Grow(256 + len(body))
-	b.WriteString(method + " " + path + " HTTP/1.1\r\nHost: " + host + "\r\n")
+	const usualHeadBytes = 256
+	b := make([]byte, 0, usualHeadBytes+len(body))
+	b = append(b, method+" "+path+" HTTP/1.1\r\nHost: "+host+"\r\n"...)
 	for i := 0; i+1 < len(headers); i += 2 {
-		b.WriteString(headers[i] + ": " + headers[i+1] + "\r\n")
+		b = append(b, headers[i]+": "+headers[i+1]+"\r\n"...)
 	}
-	b.WriteString("\r\n")
-	b.WriteString(body)
-	return []byte(b.String())
+	b = append(b, "\r\n"...)
+	return append(b, body...)
 }
