End overdue attempts on ClickHouse engines by state, not by the clock

Cause: an attempt's timer fires at its limit and 200 ms later, and told the two calls apart by the clock. When the event loop was 200 ms late, the first call took itself for the second and ended the attempt for the reason that the first should have set, whose zero value is Served, with no result.

Change: the attempt remembers that it is overdue. Worker groups' attempts have a single call and are not concerned.

--- a/internal/chengine/fleet.go
+++ b/internal/chengine/fleet.go
@@ -143,6 +143,7 @@
 	written       bool  // the query was written to a connection
 	queryCall     *call // carries the query
 	controlCall   *call // the KILL QUERY or check in progress
+	overdue       bool  // the client must be answered, and the coordinator was told
 	cancelled     bool  // KILL QUERY was sent
 	tooLateToSend bool  // the attempt had expired when its connection became available, so the query was not written
 	connLost      bool  // the query's connection broke, so the response can't arrive any more
@@ -168,30 +169,35 @@
 	}
 	f.attempts[attemptKey{a.ID, a.Number}] = a
 	a.engine.attemptCount++
-	a.waitTimer.Do = func() {
-		switch {
-		case !a.written:
-			a.finish(transport.Unreachable)
-		case f.Now() >= a.WaitUntil+responseSlack: // max_execution_time is over: the engine has ended the query itself
-			a.finish(a.endReason)
-		default:
-			// The client is answered now. The query may still be running, so the end of the attempt is reported only when the
-			// engine confirms it or max_execution_time is over.
-			f.Listener.RequestOverdue(a.ID)
-			if !a.cancelled {
-				a.cancel(transport.NoAnswer)
-			}
-			if !a.finished {
-				f.Deadlines.Set(&a.waitTimer, a.WaitUntil+responseSlack)
-			}
-		}
-	}
+	a.waitTimer.Do = a.waitEnded
 	f.Deadlines.Set(&a.waitTimer, a.WaitUntil)
 	a.queryCall = &call{build: a.buildQuery, timeout: a.WaitUntil - f.Now() + responseSlack, maxBodyBytes: f.MaxResultBytes,
 		progress: a.reportProgress, done: a.queryDone}
 	a.engine.start(a.queryCall)
 }
 
+// waitEnded handles the end of the time to wait for the attempt: first when the client must be answered, then when the engine
+// must have ended the query itself. The event loop may be so late that the second time has come at the first call.
+func (a *attempt) waitEnded() {
+	switch {
+	case !a.written:
+		a.finish(transport.Unreachable)
+	case a.overdue: // max_execution_time is over
+		a.finish(a.endReason)
+	default:
+		// The client is answered now. The query may still be running, so the end of the attempt is reported only when the engine
+		// confirms it or max_execution_time is over.
+		a.overdue = true
+		a.fleet.Listener.RequestOverdue(a.ID)
+		if !a.cancelled {
+			a.cancel(transport.NoAnswer)
+		}
+		if !a.finished {
+			a.fleet.Deadlines.Set(&a.waitTimer, a.WaitUntil+responseSlack)
+		}
+	}
+}
+
 // buildQuery returns the bytes of the query's request, or nil if the attempt has expired. It limits the execution time to what
 // is left now, so the engine ends an overdue query itself.
 func (a *attempt) buildQuery() []byte {
