--- a/cmd/thymeway/memory_test.go
+++ b/cmd/thymeway/memory_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -57,19 +56,16 @@
 		groups = append(groups, listedGroup(fmt.Sprint("s-", i), addr))
 	}
 	dir, pgAddr, httpAddr := t.TempDir(), freeAddr(t), freeAddr(t)
-	file, log := filepath.Join(dir, "config.json"), &strings.Builder{}
+	file := filepath.Join(dir, "config.json")
 	writeConfig(t, file, groups, "127.0.0.1:5499", pgAddr, "127.0.0.1:8599", freeAddr(t),
 		`"memory_mb": 192`, fmt.Sprintf(`"memory_mb": %d`, memoryMB))
 	localFile := filepath.Join(dir, "thymeway.ini")
 	if err := os.WriteFile(localFile, []byte("[clickhouse]\nlisten = "+httpAddr+"\n"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	program := exec.Command(os.Args[0])
-	program.Env = append(os.Environ(), "THYMEWAY_AS_PROGRAM=1", "EDGE_CONFIG="+file, "THYMEWAY_INI="+localFile)
-	program.Stderr = log
-	if err := program.Start(); err != nil {
-		t.Fatal(err)
-	}
+	t.Setenv("EDGE_CONFIG", file)
+	t.Setenv("THYMEWAY_INI", localFile)
+	program, log := startProgram(t)
 	t.Cleanup(func() {
 		_ = program.Process.Kill()
 		_ = program.Wait()
--- a/internal/chengine/pool.go
+++ b/internal/chengine/pool.go
@@ -19,10 +19,9 @@
 
 // call is one HTTP call to an engine. done is called once, unless the call is abandoned.
 type call struct {
-	build        func() []byte // returns the request when the call is about to be written; nil withdraws the call
-	timeout      float64       // ms from when the call is written until the response must be complete
-	maxBodyBytes int           // limit for the body of the response
-	written      bool
+	build        func() []byte      // returns the request when the call is about to be written; nil withdraws the call
+	timeout      float64            // ms from when the call is written until the response must be complete
+	maxBodyBytes int                // limit for the body of the response
 	progress     func(value string) // receives progress headers as they arrive; may be nil
 	done         func(r *response, reason transport.EndReason)
 	conn         *conn
@@ -132,7 +131,7 @@
 		c.done(nil, transport.Unreachable)
 		return
 	}
-	cn.call, c.conn, c.written = c, cn, true
+	cn.call, c.conn = c, cn
 	c.timer.Do = func() { cn.closeAndFail(transport.NoAnswer) }
 	fleet.Deadlines.Set(&c.timer, fleet.Now()+c.timeout)
 	cn.transport.Write(b)
--- a/internal/chhttp/types.go
+++ b/internal/chhttp/types.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"thymeway/internal/result"
 )
 
 // kind groups the column types whose values are written in the same way.
@@ -333,3 +335,6 @@
 	}
 	return append(dst, make([]byte, t.size)...)
 }
+
+// unescape decodes the escape sequences of a TabSeparated cell.
+func unescape(s string) string { return string(result.Unescape(nil, []byte(s))) }
