Send no body with the response to a refused HEAD request

Callers of ClickHouse's interface whose HEAD request was invalid, or was refused for memory, would take the exception's text for the start of their next response, as the connection stays open.

Cause: whether a response has a body was read off the open query, and a request that is refused before it becomes one has none (writeException).

Change: the session remembers the method of the request that it answers, from its head to its response, and no caller passes it.

Result: TestRefusedHeadRequestGetsBody failed before for both refusals and passes now, as do the tests of chhttp, node and metrics.

--- a/internal/chhttp/request.go
+++ b/internal/chhttp/request.go
@@ -92,7 +92,6 @@
 	wantsProgress   bool              // send_progress_in_http_headers
 	compressBlocks  bool              // compress: the response consists of ClickHouse's compressed blocks
 	contentEncoding string            // of the response, chosen from Accept-Encoding; "": none
-	headOnly        bool              // the method is HEAD: the response has no body
 	parameters      map[string]string // URL parameters
 }
 
@@ -230,7 +229,7 @@
 		return nil, err
 	}
 	q := &query{user: name, id: parameters["query_id"], sessionID: parameters["session_id"], parameters: parameters,
-		headOnly: head.Method == "HEAD", wantsProgress: enabled(parameters["send_progress_in_http_headers"]),
+		wantsProgress:  enabled(parameters["send_progress_in_http_headers"]),
 		compressBlocks: enabled(parameters["compress"])}
 	if len(q.id) > maxIDBytes || len(q.sessionID) > maxIDBytes {
 		return nil, newException(codeBadArguments, "an id over %d bytes", maxIDBytes)
--- a/internal/chhttp/response.go
+++ b/internal/chhttp/response.go
@@ -13,7 +13,7 @@
 const mediaPlain = "text/plain; charset=UTF-8"
 
 // writeResponse writes a complete response, or its remainder if progress headers were sent before.
-func (s *Session) writeResponse(status int, contentType string, fields [][2]string, body []byte, headOnly bool) {
+func (s *Session) writeResponse(status int, contentType string, fields [][2]string, body []byte) {
 	var b []byte
 	if !s.headSent {
 		b = responseHead(status, contentType, s.closeAfterResponse)
@@ -34,11 +34,11 @@
 		}
 	} else {
 		b = fmt.Appendf(b, "Content-Length: %d\r\n\r\n", len(body))
-		if !headOnly {
+		if !s.headOnly {
 			b = append(b, body...)
 		}
 	}
-	s.headSent = false
+	s.headSent, s.headOnly = false, false
 	s.conn.Write(b)
 	if s.closeAfterResponse {
 		s.close()
@@ -87,7 +87,7 @@
 		text += " (" + info.name + ") (version " + serverVersion + ")"
 	}
 	body := fmt.Appendf(nil, "Code: %d. DB::Exception: %s\n", ex.code, text)
-	s.writeResponse(status, mediaPlain, fields, body, q != nil && q.headOnly)
+	s.writeResponse(status, mediaPlain, fields, body)
 }
 
 // Serve answers the open query with its result.
@@ -120,7 +120,7 @@
 	if q.contentEncoding != "" {
 		fields = append(fields, [2]string{"Content-Encoding", q.contentEncoding}, [2]string{"Vary", "Accept-Encoding"})
 	}
-	s.writeResponse(200, outputFormat.contentType, fields, body, q.headOnly)
+	s.writeResponse(200, outputFormat.contentType, fields, body)
 }
 
 // Refuse answers that the query has not run, so a retry is harmless. retryAfter is the advised pause in ms; 0: none.
@@ -154,7 +154,7 @@
 // Progress sends a progress header if the client has requested progress headers. share is the completed part of the query, from
 // 0 to 1.
 func (s *Session) Progress(share float64) {
-	if s.query == nil || !s.query.wantsProgress || s.closed || s.query.headOnly {
+	if s.query == nil || !s.query.wantsProgress || s.closed || s.headOnly {
 		return
 	}
 	var b []byte
--- a/internal/chhttp/server.go
+++ b/internal/chhttp/server.go
@@ -94,6 +94,7 @@
 	countedBytes       int            // bytes of this session included in the server's heldBytes
 	query              *query         // the open query, if any
 	queryStartedAt     float64        // when the open query was accepted
+	headOnly           bool           // the request being answered has the method HEAD: its response has no body
 	headSent           bool           // the status line of the response was sent, ahead of progress headers
 	closeAfterResponse bool           // the connection is closed after the next response
 	requestCount       uint64         // requests received completely
@@ -210,6 +211,7 @@
 			return false
 		}
 		s.head, s.input = head, s.input[n:]
+		s.headOnly = head.Method == "HEAD"
 		s.receivedBody = nil
 		if expectation := head.Get("expect"); expectation != "" {
 			if !strings.EqualFold(expectation, "100-continue") {
@@ -283,22 +285,21 @@
 	srv := s.server
 	if head.Method != "GET" && head.Method != "POST" && head.Method != "HEAD" {
 		s.closeAfterResponse = true
-		s.writeResponse(501, mediaPlain, nil, []byte("There is no handle for method "+head.Method+"\n"), head.Method == "HEAD")
+		s.writeResponse(501, mediaPlain, nil, []byte("There is no handle for method "+head.Method+"\n"))
 		return
 	}
 	path, _, _ := strings.Cut(head.Target, "?")
 	switch path {
 	case "/ping", "/replicas_status":
-		s.writeResponse(200, mediaPlain, nil, []byte("Ok.\n"), head.Method == "HEAD")
+		s.writeResponse(200, mediaPlain, nil, []byte("Ok.\n"))
 		return
 	case "/":
 	default:
-		s.writeResponse(404, mediaPlain, nil, []byte("There is no handle "+path+"\n\nUse / or /ping for health checks.\n"),
-			head.Method == "HEAD")
+		s.writeResponse(404, mediaPlain, nil, []byte("There is no handle "+path+"\n\nUse / or /ping for health checks.\n"))
 		return
 	}
 	if head.Method == "GET" && head.Target == "/" && len(body) == 0 {
-		s.writeResponse(200, mediaPlain, nil, []byte("Ok.\n"), false)
+		s.writeResponse(200, mediaPlain, nil, []byte("Ok.\n"))
 		return
 	}
 	q, err := srv.readQuery(head, body, s.textLimit())
--- a/internal/chhttp/server_test.go
+++ b/internal/chhttp/server_test.go
@@ -235,3 +235,36 @@
 		}
 	})
 }
+
+// Guards against bytes that a client takes for its next response: the response to a HEAD request never has a body, also if the
+// request is refused or fails and the connection stays open.
+func TestRefusedHeadRequestGetsBody(t *testing.T) {
+	for name, c := range map[string]struct {
+		parameters   string
+		maxHeldBytes int
+		end          func(s *Session)
+	}{
+		"invalid":   {"query=SELECT+1&default_format=Unknown", 0, nil},
+		"no memory": {"query=SELECT+{p:String},{p:String}+FROM+sales_1.t&param_p=" + strings.Repeat("y", 500), 900, nil},
+		"failed":    {"query=SELECT+a+FROM+sales_1.t", 0, func(s *Session) { s.Fail("no engine") }},
+		"refused":   {"query=SELECT+a+FROM+sales_1.t", 0, func(s *Session) { s.Refuse(500) }},
+	} {
+		srv, _, _ := newTestServer(t)
+		srv.MaxHeldBytes = c.maxHeldBytes
+		session, conn := srv.Accept(), &fakeConn{}
+		session.Opened(conn)
+		session.Received([]byte("HEAD /?user=acme&" + c.parameters + " HTTP/1.1\r\nHost: x\r\n\r\n"))
+		if c.end != nil {
+			c.end(session)
+		}
+		head, body, complete := strings.Cut(conn.output.String(), "\r\n\r\n")
+		if !complete || body != "" || conn.closed || strings.HasPrefix(head, "HTTP/1.1 200") {
+			t.Errorf("%s: closed %v, head %q, body %q", name, conn.closed, head, body)
+		}
+		conn.output.Reset()
+		session.Received([]byte("GET /ping HTTP/1.1\r\nHost: x\r\n\r\n"))
+		if out := conn.output.String(); !strings.HasPrefix(out, "HTTP/1.1 200") || !strings.HasSuffix(out, "\r\n\r\nOk.\n") {
+			t.Errorf("%s: the next request gets %q", name, out)
+		}
+	}
+}
