Let the endpoint tell which connections belong to an earlier server

Both kinds of engines told a connection of an earlier server by a means of their own, one by the id, one by a counter. The endpoint of the directory counts now, and both compare that. The metrics take two numbers in place of a type of the ClickHouse server's package. No behaviour changes; the tests of directory, workergroup, chengine, node, metrics and chhttp pass.

--- a/internal/chengine/pool.go
+++ b/internal/chengine/pool.go
@@ -51,7 +51,8 @@
 // conn is a connection to an engine. It carries at most one call at a time.
 type conn struct {
 	engine           *engine
-	server           string // id of the engine that was listed with the address when the connection was dialed
+	server           string // id of the engine that was listed with the address when the connection was dialed, for the log
+	generation       int    // of the endpoint when the connection was dialed
 	transport        transport.Conn
 	call             *call
 	input            []byte      // received, but not parsed yet
@@ -88,7 +89,7 @@
 		c.done(nil, transport.NoDescriptor)
 		return
 	}
-	cn := &conn{engine: e, server: e.ServerID(), call: c}
+	cn := &conn{engine: e, server: e.ServerID(), generation: e.Generation(), call: c}
 	c.conn = cn
 	e.conns++
 	e.fleet.conns++
@@ -140,7 +141,7 @@
 // makeAvailable keeps the connection idle for the next call, or closes it if it was opened for an earlier engine.
 func (cn *conn) makeAvailable() {
 	e := cn.engine
-	if cn.server == "" || cn.server != e.ServerID() {
+	if cn.generation != e.Generation() || e.ServerID() == "" {
 		cn.close()
 		return
 	}
--- a/internal/chhttp/memory.go
+++ b/internal/chhttp/memory.go
@@ -10,14 +10,11 @@
 // any engine, so a retry is harmless.
 var errNoMemory = newException(codeMemoryLimit, "the requests of all clients take what memory there is for them")
 
-// Memory describes what the requests of all sessions hold.
-type Memory struct {
-	HeldBytes int
-	Refusals  uint64 // requests that were refused for lack of memory
-}
+// HeldBytes returns the number of bytes that the requests of all sessions hold.
+func (srv *Server) HeldBytes() int { return srv.heldBytes }
 
-// Memory returns what the requests of all sessions hold now.
-func (srv *Server) Memory() Memory { return Memory{srv.heldBytes, srv.memoryRefusals} }
+// MemoryRefusals returns the number of requests that were refused for lack of memory.
+func (srv *Server) MemoryRefusals() uint64 { return srv.memoryRefusals }
 
 // neededBytes returns the number of bytes that the session holds or is about to receive: unparsed input, the body of a request,
 // an open query.
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -12,6 +12,7 @@
 type Endpoint struct {
 	Addr    string
 	servers []string // ids of the listed servers that have the address; the last one was listed last
+	changes int      // how often another server, or none, was taken to listen at the address
 }
 
 // ServerID returns the id of the server that is taken to listen at the address, or "" if no listed server has the address.
@@ -22,6 +23,10 @@
 	return e.servers[len(e.servers)-1]
 }
 
+// Generation identifies the server that is taken to listen at the address: it differs after each ServerReplaced. A connection
+// belongs to the generation in which it was dialed.
+func (e *Endpoint) Generation() int { return e.changes }
+
 // DirectoryEndpoint returns the endpoint itself, as Connections requires.
 func (e *Endpoint) DirectoryEndpoint() *Endpoint { return e }
 
@@ -80,6 +85,7 @@
 	previous := endpoint.ServerID()
 	endpoint.servers = append(endpoint.servers, id)
 	if exists {
+		endpoint.changes++
 		c.ServerReplaced(previous)
 	}
 }
@@ -96,6 +102,7 @@
 	wasCurrent := endpoint.ServerID() == id
 	endpoint.servers = slices.DeleteFunc(endpoint.servers, func(server string) bool { return server == id })
 	if wasCurrent {
+		endpoint.changes++
 		c.ServerReplaced(id)
 	}
 	d.RemoveIfUnused(c)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -12,7 +12,6 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"thymeway/internal/accounting"
-	"thymeway/internal/chhttp"
 	"thymeway/internal/clock"
 	"thymeway/internal/retrystorm"
 	"thymeway/internal/shape"
@@ -30,7 +29,8 @@
 	RetryReasons      []accounting.ReasonRow      // attempts after the first, by how the previous one ended
 	UnservedReasons   []accounting.ReasonRow      // requests refused or failed, by reason
 	Clock             clock.State
-	ClickHouse        chhttp.Memory // of the ClickHouse clients' requests
+	HeldBytes         int    // bytes that open requests of ClickHouse clients hold
+	MemoryRefusals    uint64 // requests of ClickHouse clients refused for lack of memory
 }
 
 const (
@@ -132,8 +132,8 @@
 	}
 	count(clockSteps, float64(snapshot.Clock.Steps))
 	gauge(clockOffset, snapshot.Clock.Offset/1000)
-	gauge(heldBytes, float64(snapshot.ClickHouse.HeldBytes))
-	count(heldRefusals, float64(snapshot.ClickHouse.Refusals))
+	gauge(heldBytes, float64(snapshot.HeldBytes))
+	count(heldRefusals, float64(snapshot.MemoryRefusals))
 	gauge(unanswered, float64(snapshot.Unanswered))
 	gauge(attemptsInFlight, float64(snapshot.InFlight))
 	gauge(clientConnections, float64(snapshot.ClientConnections))
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -10,7 +10,6 @@
 	"testing"
 
 	"thymeway/internal/accounting"
-	"thymeway/internal/chhttp"
 	"thymeway/internal/clock"
 )
 
@@ -47,7 +46,7 @@
 			RetryReasons: []accounting.ReasonRow{{ReasonKey: accounting.ReasonKey{Class: "load", Reason: "silent"}, Count: 2}},
 			UnservedReasons: []accounting.ReasonRow{
 				{ReasonKey: accounting.ReasonKey{Class: "lookup", Reason: "capacity"}, Count: 5}},
-			Clock: clock.State{Steps: 1, Offset: -3.6e6}, ClickHouse: chhttp.Memory{HeldBytes: 4096, Refusals: 7}}, nil
+			Clock: clock.State{Steps: 1, Offset: -3.6e6}, HeldBytes: 4096, MemoryRefusals: 7}, nil
 	})
 	for _, want := range []string{`thymeway_requests_total{class="lookup",protocol="clickhouse",tenant="acme"} 3`,
 		`thymeway_answers_total{class="lookup",ending="refused",protocol="clickhouse",tenant="acme"} 1`,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -181,7 +181,7 @@
 		s.Clock = n.WallClock.State()
 	}
 	if n.ClickHouse != nil {
-		s.ClickHouse = n.ClickHouse.Memory()
+		s.HeldBytes, s.MemoryRefusals = n.ClickHouse.HeldBytes(), n.ClickHouse.MemoryRefusals()
 	}
 	s.StormStates = map[string]retrystorm.State{"": n.Coordinator.StormState("")}
 	for _, tenant := range n.config.Scheduler.Tenants {
--- a/internal/workergroup/pool.go
+++ b/internal/workergroup/pool.go
@@ -35,8 +35,7 @@
 	idle           []*conn        // most recently used last
 	respondingConn *conn          // the connection whose response is being processed
 	waiting        []*call        // in order of arrival
-	generation     int            // counts how often another worker group was listed with the address
-	dialingCount   int            // connections of this generation being established
+	dialingCount   int            // connections of the present generation being established
 	pausingCount   int            // connections that pause after a response and are then free for the next call
 	connCount      int            // all connections, including those being established
 	silent         []*conn        // connections whose keep-alive call timed out or got a malformed response, longest silent first
@@ -53,7 +52,7 @@
 	group         *group
 	number        int    // for the log
 	server        string // id of the worker group that was listed with the address when the connection was dialed, for the log
-	generation    int    // of the group when the connection was dialed
+	generation    int    // of the endpoint when the connection was dialed
 	transport     transport.Conn
 	parser        parser
 	call          *call
@@ -103,7 +102,7 @@
 	g.connCount++
 	g.fleet.connCount++
 	g.fleet.dialedCount++
-	g.fleet.Dialer.Dial(g.Addr, &conn{group: g, number: g.fleet.dialedCount, server: g.ServerID(), generation: g.generation})
+	g.fleet.Dialer.Dial(g.Addr, &conn{group: g, number: g.fleet.dialedCount, server: g.ServerID(), generation: g.Generation()})
 }
 
 // failWaiting fails a call that still waits for a connection.
@@ -155,7 +154,6 @@
 // address, and closes the idle connections. Queries that were sent may be running on the new one: nothing proves that they have
 // ended.
 func (g *group) ServerReplaced(server string) {
-	g.generation++
 	g.dialingCount = 0
 	g.finishUnsent(server)
 	for len(g.idle) > 0 {
@@ -247,7 +245,7 @@
 // closes a connection that was opened for an earlier worker group, and one that is not needed any more.
 func (cn *conn) makeAvailable(pause float64) {
 	g := cn.group
-	if cn.generation != g.generation || g.ServerID() == "" && len(g.waiting) == 0 {
+	if cn.generation != g.Generation() || g.ServerID() == "" && len(g.waiting) == 0 {
 		cn.close()
 		return
 	}
@@ -290,7 +288,7 @@
 
 // endDialing stops counting the connection among those being established.
 func (cn *conn) endDialing() {
-	if cn.generation == cn.group.generation {
+	if cn.generation == cn.group.Generation() {
 		cn.group.dialingCount--
 	}
 }
@@ -452,7 +450,7 @@
 		g.fleet.Deadlines.Set(&g.redialTimer, g.fleet.Now()+refusedPause)
 	}
 	// If more calls wait than connections are being established, this connection counts as the one of the first waiting call.
-	if len(g.waiting) > g.dialingCount && cn.generation == g.generation {
+	if len(g.waiting) > g.dialingCount && cn.generation == g.Generation() {
 		// A connection that was reset while being established says nothing about the worker group, so another one is opened.
 		if g.failedDials++; reason == transport.ConnRefused || reason == transport.Unreachable ||
 			g.failedDials > maxFailedDials {
