--- a/review/rig2/network.go
+++ b/review/rig2/network.go
@@ -21,6 +21,7 @@
 	whole        *sync.Cond
 	fillers      []net.Conn
 	fillerAddrs  map[string]bool
+	open         map[net.Conn]bool
 	loses        func(answer []byte) bool          // whether an answer is lost and its connection reset; nil: none is
 	copies       func(answer []byte) time.Duration // how late a second copy of an answer comes; 0: there is none. nil: no copies
 }
@@ -44,7 +45,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &link{target: target, listener: fd, fillerAddrs: map[string]bool{},
+	l := &link{target: target, listener: fd, fillerAddrs: map[string]bool{}, open: map[net.Conn]bool{},
 		addr: net.JoinHostPort("127.0.0.1", strconv.Itoa(name.(*syscall.SockaddrInet4).Port))}
 	l.whole = sync.NewCond(&l.mu)
 	go l.accept()
@@ -89,6 +90,14 @@
 func (l *link) carry(fd int) {
 	near := fdConn(fd)
 	defer near.Close()
+	l.mu.Lock()
+	l.open[near] = true
+	l.mu.Unlock()
+	defer func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		delete(l.open, near)
+	}()
 	far, err := net.Dial("tcp", l.target)
 	if err != nil {
 		return
@@ -184,6 +193,21 @@
 	return errors.New("the link can't be cut: connections still come up")
 }
 
+// refuse ends the listening: open connections go on, and new ones are refused, as by a process that drains.
+func (l *link) refuse() { _ = syscall.Shutdown(l.listener, syscall.SHUT_RD) }
+
+// resetAll resets all open connections on the coordinator's side. What has come to the engine has come.
+func (l *link) resetAll() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.open {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
 // heal ends a cut.
 func (l *link) heal() {
 	l.mu.Lock()
