--- a/review/rig2/network.go
+++ b/review/rig2/network.go
@@ -22,6 +22,7 @@
 	fillers      []net.Conn
 	fillerAddrs  map[string]bool
 	open         map[net.Conn]bool
+	spoils       func(answer []byte) []byte        // returns an answer as it arrives; nil: unchanged
 	loses        func(answer []byte) bool          // whether an answer is lost and its connection reset; nil: none is
 	copies       func(answer []byte) time.Duration // how late a second copy of an answer comes; 0: there is none. nil: no copies
 }
@@ -119,8 +120,12 @@
 				return
 			}
 			if n > 0 {
+				arriving := buffer[:n]
+				if to == near && l.spoils != nil {
+					arriving = l.spoils(arriving)
+				}
 				writing.Lock()
-				_, err := to.Write(buffer[:n])
+				_, err := to.Write(arriving)
 				writing.Unlock()
 				if err != nil {
 					return
--- a/review/rig2/servers.go
+++ b/review/rig2/servers.go
@@ -70,7 +70,8 @@
 	name    string
 	log     *runLog
 	runTime func(statement string) time.Duration
-	fails   func(statement string) bool // a query that ends is answered with an error; nil: none is
+	fails   func(statement string) bool   // a query that ends is answered with an error; nil: none is
+	rows    func(statement string) string // the rows of a result, on one page; nil: one row with the request's id
 	addr    string
 	mu      sync.Mutex
 	byID    map[string]*queryRun
@@ -123,6 +124,9 @@
 		key: r.Header.Get("X-Replay-Key"), budgetMs: budget, begunAt: now, askedAt: now, notedAt: now,
 		runTime: w.runTime(string(statement)), stop: make(chan struct{}),
 		pages: []string{fmt.Sprintf("%s\t%s\tok\n", r.Header.Get("X-Hop-Id"), w.name)}}
+	if w.rows != nil {
+		q.pages = []string{w.rows(q.statement)}
+	}
 	w.mu.Lock()
 	w.byID[q.id] = q
 	w.mu.Unlock()
