--- a/review/rig2/case_fresh.go
+++ b/review/rig2/case_fresh.go
@@ -8,8 +8,11 @@
 
 func init() { cases["fresh"] = playFresh }
 
-// freshReports is the number of reports that are asked for, one after the other.
-const freshReports = 5
+// Figures of the case.
+const (
+	freshReports = 5        // that are asked for, one after the other
+	freshLink    = 50 << 20 // bytes a second that the client reads at most, with the trouble and without
+)
 
 // playFresh plays reports that are asked for on a fresh connection each, which the client ends with the answer. Each answer that
 // says 200 has to be whole.
@@ -36,6 +39,7 @@
 	}
 	note("a report has %d bytes in the engine's form", len(report))
 	client := newHTTPClient(httpAddr, !trouble)
+	client.bytesPerSecond = freshLink
 	lost := 0
 	for range freshReports {
 		note("client: asks for a report, fresh connection: %v", trouble)
