--- a/review/rig2/case_memory.go
+++ b/review/rig2/case_memory.go
@@ -61,7 +61,7 @@
 	go func() {
 		peak := 0.0
 		for {
-			now := p.residentMB()
+			now := p.ownMB()
 			peak = max(peak, now)
 			if now > memoryMB {
 				note("platform: the coordinator takes %.0f MB of %d and is killed", now, memoryMB)
--- a/review/rig2/program.go
+++ b/review/rig2/program.go
@@ -62,6 +62,8 @@
 	memoryMB int
 	local    string // text of the local settings
 	seed     string
+	index    int // number of the coordinator
+	of       int // number of coordinators; 0: one
 }
 
 // writeFiles writes the configuration and the local settings of a coordinator.
@@ -81,7 +83,7 @@
 		members = append(members, m.json())
 	}
 	text, err := json.MarshalIndent(object{
-		"name": "n1", "listen": listen, "seed": f.seed, "board": f.board,
+		"name": fmt.Sprintf("n%d", f.index+1), "listen": listen, "seed": f.seed, "board": f.board,
 		"limits": object{"cores": 1, "memory_mb": f.memoryMB, "sockets": 1024},
 		"known": object{"rev": 1, "notices": []any{object{"rev": 1,
 			"pool": object{"revision": 1, "complete": true, "members": members}}}},
@@ -92,7 +94,7 @@
 			"familyInfo": object{"classWaits": waits, "isLoad": isLoad, "parallelism": threads, "cpuOfKind": []int{12},
 				"sizeMb": []int{24576}, "grantsCount": true, "largestShare": 0.4, "memoryShort": "page", "notePeriodMs": 1000,
 				"ranksHeeded": false, "tellsCost": true},
-			"index": 0, "instances": 1, "locality": "room-a", "models": []string{"std-12"}, "membershipMode": "push",
+			"index": f.index, "instances": max(f.of, 1), "locality": "room-a", "models": []string{"std-12"}, "membershipMode": "push",
 			"overShareWorth": 0.05,
 			"invariants": object{"answerSlackMs": 20, "askEveryMs": 10000, "coldFrom": 0.34, "drainGraceMs": 2000,
 				"fallMultiple": 2.5, "orderSettleMs": 500, "overloadForMs": 3000, "warmAfterMs": 14000},
@@ -104,16 +106,19 @@
 	if err != nil {
 		return "", "", err
 	}
-	config, local = filepath.Join(tempDir, "config.json"), filepath.Join(tempDir, "thymeway.ini")
+	config, local = filepath.Join(tempDir, fmt.Sprintf("config-%d.json", f.index)),
+		filepath.Join(tempDir, fmt.Sprintf("thymeway-%d.ini", f.index))
 	if err := os.WriteFile(config, text, 0o600); err != nil {
 		return "", "", err
 	}
 	return config, local, os.WriteFile(local, []byte(f.local), 0o600)
 }
 
-// freeAddr returns a loopback address on which nothing listens.
+// freeAddr returns a loopback address on which nothing listens. Its host differs for each process of this program: coordinators
+// share their addresses (SO_REUSEPORT), so that two cases that are played at once must not be given the same one.
 func freeAddr() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>14&127, pid>>7&127, 1+pid&127))
 	if err != nil {
 		return "", err
 	}
@@ -171,13 +176,14 @@
 	if err != nil {
 		return nil, err
 	}
-	logFile, err := os.Create(filepath.Join(tempDir, "log.txt"))
+	logName := filepath.Join(tempDir, fmt.Sprintf("log-%d.txt", f.index))
+	logFile, err := os.Create(logName)
 	if err != nil {
 		return nil, err
 	}
 	defer logFile.Close()
 	p := &program{cmd: exec.Command("/bin/sh", "-c", command), pgAddr: listen, ended: make(chan struct{})}
-	p.cmd.Env = append(os.Environ(), "EDGE_CONFIG="+config, "THYMEWAY_INI="+local, "EDGE_NAME=n1", "EDGE_LISTEN="+listen,
+	p.cmd.Env = append(os.Environ(), "EDGE_CONFIG="+config, "THYMEWAY_INI="+local, fmt.Sprintf("EDGE_NAME=n%d", f.index+1), "EDGE_LISTEN="+listen,
 		"TMPDIR="+tempDir)
 	p.cmd.Stdout, p.cmd.Stderr = logFile, logFile
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -202,17 +208,17 @@
 			}
 		}
 	}
-	text, _ := os.ReadFile(filepath.Join(tempDir, "log.txt"))
+	text, _ := os.ReadFile(logName)
 	return nil, errors.New("the coordinator does not start: " + string(bytes.TrimSpace(text)))
 }
 
-// residentMB returns the resident memory of the program in MB; 0 once it has ended.
-func (p *program) residentMB() float64 {
+// ownMB returns the memory of the program in MB, without pages of files; 0 once it has ended.
+func (p *program) ownMB() float64 {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
 	if err != nil {
 		return 0
 	}
-	m := regexp.MustCompile(`(?m)^VmRSS:\s+(\d+) kB`).FindSubmatch(text)
+	m := regexp.MustCompile(`(?m)^RssAnon:\s+(\d+) kB`).FindSubmatch(text)
 	if m == nil {
 		return 0
 	}
--- a/review/rig2/servers.go
+++ b/review/rig2/servers.go
@@ -71,6 +71,7 @@
 	log     *runLog
 	runTime func(statement string) time.Duration
 	fails   func(statement string) bool   // a query that ends is answered with an error; nil: none is
+	work    func(class string) float64    // the work of a query in ms, in multiples of its run time; nil: 1
 	rows    func(statement string) string // the rows of a result, on one page; nil: one row with the request's id
 	addr    string
 	mu      sync.Mutex
@@ -192,7 +193,11 @@
 		return
 	}
 	rw.Header().Set("Page-Count", strconv.Itoa(len(q.pages)))
-	rw.Header().Set("Work-Ms", "100")
+	work := float64(q.runTime.Milliseconds())
+	if w.work != nil {
+		work *= w.work(q.class)
+	}
+	rw.Header().Set("Work-Ms", strconv.FormatFloat(work, 'f', 1, 64))
 	rw.Header().Set("X-Report", "util:0.30;queue:0")
 	_, _ = io.WriteString(rw, q.pages[0])
 }
