--- a/internal/chengine/fleet.go
+++ b/internal/chengine/fleet.go
@@ -20,6 +20,7 @@
 	"thymeway/internal/directory"
 	"thymeway/internal/faultlog"
 	"thymeway/internal/result"
+	"thymeway/internal/shape"
 	"thymeway/internal/transport"
 )
 
@@ -305,6 +306,10 @@
 		a.finish(transport.Failed)
 	default:
 		set, err := result.Parse(r.body)
+		summary := parseSummary(r.Get("x-clickhouse-summary"))
+		if err == nil {
+			err = a.checkComplete(r, set, summary)
+		}
 		if err != nil {
 			a.fleet.Faults.Add("engine-spoilt", "engine", a.Engine, "what", "result", "error", err)
 			a.finish(transport.Failed)
@@ -312,12 +317,24 @@
 		}
 		a.outcome.Result = set
 		a.outcome.Duration = a.fleet.Now() - a.startedAt
-		elapsed, mem := parseSummary(r.Get("x-clickhouse-summary"))
-		a.outcome.Work, a.outcome.Mem = elapsed*a.Threads, mem // the scheduler counts the work of all threads
+		a.outcome.Work, a.outcome.Mem = summary.elapsed*a.Threads, summary.mem // the scheduler counts the work of all threads
 		a.finish(transport.Served)
 	}
 }
 
+// checkComplete returns an error if a result has fewer rows than its engine states, or no columns although the statement reads.
+// Without it, a response whose length is too short and ends with a row would pass for a shorter result.
+func (a *attempt) checkComplete(r *response, set *result.Set, summary summary) error {
+	reads := a.Shape != nil && (a.Shape.Kind == shape.Read || a.Shape.Kind == shape.Aggregate)
+	switch {
+	case reads && len(set.Columns) == 0 && !strings.EqualFold(r.Get("x-clickhouse-format"), "Null"):
+		return fmt.Errorf("%w: a statement that reads has no columns", result.ErrIncomplete)
+	case len(set.Columns) > 0 && float64(set.RowCount()) < summary.resultRows:
+		return fmt.Errorf("%w: %d rows of %.0f", result.ErrIncomplete, set.RowCount(), summary.resultRows)
+	}
+	return nil
+}
+
 const maxMessageBytes = 2000 // longest part of an exception's text that is passed on to the client
 
 // rejectionCodes are the exception codes with which an engine rejects a query while analyzing it: nothing has run, and any
@@ -340,15 +357,22 @@
 		bytes.Contains(r.body, []byte("\r\n__exception__\r\n"))
 }
 
-// parseSummary returns the elapsed time in ms and the memory in MB of a query, from the summary header of its response. The
-// summary does not contain the CPU time.
-func parseSummary(text string) (elapsed, mem float64) {
+// summary is what the summary header of a response states of its query; 0: not stated. It does not contain the CPU time.
+type summary struct {
+	elapsed    float64 // ms
+	mem        float64 // MB
+	resultRows float64
+}
+
+// parseSummary parses the summary header of a response. What can't be parsed counts as not stated.
+func parseSummary(text string) summary {
 	var fields struct {
-		Elapsed string `json:"elapsed_ns"`
-		Memory  string `json:"memory_usage"`
+		Elapsed    string `json:"elapsed_ns"`
+		Memory     string `json:"memory_usage"`
+		ResultRows string `json:"result_rows"`
 	}
 	if json.Unmarshal([]byte(text), &fields) != nil {
-		return 0, 0
+		return summary{}
 	}
 	number := func(text string) float64 {
 		value, err := strconv.ParseFloat(text, 64)
@@ -357,7 +381,8 @@
 		}
 		return value
 	}
-	return number(fields.Elapsed) / 1e6, number(fields.Memory) / (1 << 20)
+	return summary{elapsed: number(fields.Elapsed) / 1e6, mem: number(fields.Memory) / (1 << 20),
+		resultRows: number(fields.ResultRows)}
 }
 
 // Cancel cancels an attempt, if it is in flight. AttemptListener.AttemptEnded follows once the query is known not to be running.
--- a/internal/chengine/pool.go
+++ b/internal/chengine/pool.go
@@ -59,9 +59,10 @@
 	scannedBytes     int         // leading bytes of input that were searched for progress headers
 	head             *http1.Head // of the response being received; nil while it is incomplete
 	bodyDecoder      *http1.BodyDecoder
-	receivedBody     []byte // body received so far
-	countedBytes     int    // bytes of receivedBody included in the fleet's bufferedBytes
-	interimResponses int    // responses with status 1xx before the final one
+	receivedBody     []byte    // body received so far
+	unconfirmed      *response // complete by its length, while there is unread input that may show that its length is wrong
+	countedBytes     int       // bytes of receivedBody included in the fleet's bufferedBytes
+	interimResponses int       // responses with status 1xx before the final one
 	closed           bool
 	timer            deadline.Entry // closes an idle connection
 }
@@ -212,6 +213,12 @@
 	if cn.closed {
 		return
 	}
+	if r := cn.unconfirmed; r != nil && cn.call != nil { // nothing has come behind the response
+		cn.unconfirmed = nil
+		r.Close = true
+		cn.completeCall(r)
+		return
+	}
 	c := cn.call
 	cn.detach()
 	cn.call = nil
@@ -242,12 +249,16 @@
 		cn.closeAndFail(transport.Malformed)
 		return
 	}
-	if r == nil {
-		return
+	if r != nil {
+		cn.completeCall(r)
 	}
+}
+
+// completeCall passes a complete response to its call.
+func (cn *conn) completeCall(r *response) {
 	c := cn.call
 	cn.call, c.conn = nil, nil
-	fleet.Deadlines.Cancel(&c.timer)
+	cn.engine.fleet.Deadlines.Cancel(&c.timer)
 	if r.Close || len(cn.input) > 0 {
 		cn.close()
 	} else {
@@ -256,9 +267,34 @@
 	c.done(r, transport.Served)
 }
 
-// parseInput adds bytes to the input, passes on progress headers, and returns the response if it is now complete.
+// errTrailingBytes is returned for a response with other bytes behind it than its own copy. Either its length is too short, so that
+// rows are missing, or it belongs to another call.
+var errTrailingBytes = errors.New("bytes behind the response")
+
+// parseInput adds bytes to the input, passes on progress headers, and returns the response if it is now complete. If more input
+// has arrived behind it, the response is returned only once that input is read or the connection has ended: it may be the rest of
+// a result whose length is too short.
 func (cn *conn) parseInput(b []byte) (*response, error) {
 	cn.input = append(cn.input, b...)
+	r := cn.unconfirmed
+	if cn.unconfirmed = nil; r == nil {
+		var err error
+		if r, err = cn.parseResponse(); r == nil || err != nil {
+			return nil, err
+		}
+		if len(cn.input) == 0 && !cn.transport.Idle() {
+			cn.unconfirmed = r
+			return nil, nil
+		}
+	}
+	if len(cn.input) > 0 && !r.RepeatedBy(r.body, cn.input) {
+		return nil, errTrailingBytes
+	}
+	return r, nil
+}
+
+// parseResponse returns the response that is complete in the input, or nil.
+func (cn *conn) parseResponse() (*response, error) {
 	for cn.head == nil {
 		head, n, err := http1.ParseResponse(cn.input, http1.Limits{MaxBytes: maxHeadBytes})
 		if errors.Is(err, http1.ErrIncomplete) {
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -272,6 +273,25 @@
 	return h, n, nil
 }
 
+// RepeatedBy reports whether rest, which was received behind a response with this head and body, begins with the same response
+// once more. The copy must have its whole head, while its body may be cut off. Other bytes behind a response show that its length
+// is wrong or that it belongs to another call.
+func (h *Head) RepeatedBy(body, rest []byte) bool {
+	repeat, n, err := ParseResponse(rest, Limits{})
+	if err != nil || repeat.Status != h.Status || !slices.Equal(repeat.Fields, h.Fields) {
+		return false
+	}
+	decoder, err := repeat.NewBodyDecoder(int64(len(body)))
+	if err != nil {
+		return false
+	}
+	repeatedBody, _, err := decoder.DecodeAll(nil, rest[n:])
+	if decoder.Done() {
+		return err == nil && bytes.Equal(repeatedBody, body)
+	}
+	return err == nil && bytes.HasPrefix(body, repeatedBody)
+}
+
 // NoBody reports whether a response with this status never has a body.
 func (h *Head) NoBody() bool { return h.Status == 204 || h.Status == 304 || h.Status/100 == 1 }
 
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -179,3 +179,43 @@
 		}
 	})
 }
+
+// Guards against rows that are cut off or foreign: only a copy of a response may follow it. Everything else shows that its length is
+// wrong or that it belongs to another call.
+func TestBytesBehindResponseCountAsCopy(t *testing.T) {
+	const response = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\nPage-Count: 1\r\n\r\na\tb\tc\n"
+	const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\na\tb\r\n3\r\n\tc\n\r\n0\r\n\r\n"
+	for _, c := range []struct {
+		response, rest string
+		want           bool
+	}{
+		{response, response, true},
+		{response, response[:len(response)-3], true}, // the rest is still on its way
+		{response, response + response, true},
+		{chunked, chunked, true},
+		{response, response[:20], false}, // without its whole head it may be anything
+		{response, "d\te\tf\n", false},
+		{response, strings.Replace(response, "a\tb", "x\tb", 1), false},
+		{response, strings.Replace(response, "200 OK", "500 No", 1), false},
+		{response, strings.Replace(response, "Page-Count: 1", "Page-Count: 2", 1), false},
+		{response, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nPage-Count: 1\r\n\r\na\tb", false},
+		{response, "HTTP/1.1 200 OK\r\nPage-Count: 1\r\n\r\n", false},
+		{chunked, strings.Replace(chunked, "a\tb", "x\tb", 1), false},
+	} {
+		head, n, err := ParseResponse([]byte(c.response), Limits{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		decoder, err := head.NewBodyDecoder(100)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, _, err := decoder.DecodeAll(nil, []byte(c.response)[n:])
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := head.RepeatedBy(body, []byte(c.rest)); got != c.want {
+			t.Errorf("%q behind %q: %v, want %v", c.rest, c.response, got, c.want)
+		}
+	}
+}
--- a/internal/workergroup/attempt.go
+++ b/internal/workergroup/attempt.go
@@ -122,7 +122,7 @@
 		a.processResponse(a.postCall, r)
 	case a.postedAt > 0:
 		logs.Trace("post-broke", a.ID, "engine", a.Engine, "wire", a.postCall.connNumber, "end", reason)
-		a.pollAfter(0)
+		a.pollAfterFailedCall(reason, 0)
 	case a.tooLateToPost:
 		a.finish(transport.Expired)
 	case reason == transport.ConnRefused || reason == transport.NoDescriptor:
@@ -150,12 +150,32 @@
 		case reason == transport.Unreachable || reason == transport.NoAnswer:
 			a.pollAfter(retryPause)
 		default:
-			a.pollAfter(reconnectPause)
+			a.pollAfterFailedCall(reason, reconnectPause)
 		}
 	}
 	a.startKeepAliveCall(c)
 }
 
+// pollAfterFailedCall polls again after a call without a response. If responses can't be read several times in a row, the query is
+// cancelled, so that its request may be sent elsewhere.
+func (a *attempt) pollAfterFailedCall(reason transport.EndReason, pause float64) {
+	if reason == transport.Malformed && a.countInvalidResponse() {
+		return
+	}
+	a.pollAfter(pause)
+}
+
+// countInvalidResponse counts a response that can't be used. After more than maxInvalidResponses in a row it cancels the query and
+// returns true.
+func (a *attempt) countInvalidResponse() bool {
+	if a.invalidResponses++; a.invalidResponses <= maxInvalidResponses {
+		return false
+	}
+	a.currentCall = nil
+	a.cancel(transport.Malformed)
+	return true
+}
+
 // pollAfter polls again after a pause, in milliseconds. Without a pause, polling would loop without end where connections break
 // as soon as they are established.
 func (a *attempt) pollAfter(pause float64) {
@@ -263,11 +283,9 @@
 func (a *attempt) pollAfterInvalidResponse(what string, r *response) {
 	a.fleet.Faults.Add("engine-spoilt", "engine", a.Engine, "what", what, "status", r.status, "bytes", len(r.body))
 	a.group.closeRespondingConn()
-	if a.invalidResponses++; a.invalidResponses > maxInvalidResponses {
-		a.cancel(transport.Malformed)
-		return
+	if !a.countInvalidResponse() {
+		a.pollAfter(reconnectPause)
 	}
-	a.pollAfter(reconnectPause)
 }
 
 // acceptPage stores a valid page and requests the next one. The attempt lasts until the last page is read. Nothing is sent to the
--- a/internal/workergroup/pool.go
+++ b/internal/workergroup/pool.go
@@ -56,8 +56,9 @@
 	transport     transport.Conn
 	parser        parser
 	call          *call
-	responseBegun bool // part of a response has arrived
-	ignoresInput  bool // input is discarded: the connection is kept only to learn of its end
+	responseBegun bool      // part of a response has arrived
+	unconfirmed   *response // complete by its length, while there is unread input that may show that its length is wrong
+	ignoresInput  bool      // input is discarded: the connection is kept only to learn of its end
 	pausing       bool
 	timer         deadline.Entry // ends the pause, or closes the connection after a long idle or silent time
 }
@@ -347,7 +348,7 @@
 		cn.close()
 		return
 	}
-	r, err := cn.parser.feed(b)
+	r, err := cn.parse(b)
 	if err != nil {
 		f.Faults.Add("engine-garbled", "engine", cn.server, "addr", cn.group.Addr, "bytes", len(b), "error", err)
 		cn.handleMalformed()
@@ -361,6 +362,28 @@
 		}
 		return
 	}
+	cn.completeCall(r)
+}
+
+// parse adds received bytes and returns the response that is complete with them, or nil. If more input has arrived behind a
+// result, the result is returned only once that input is read or the connection has ended: it may be the rest of a result whose
+// length is too short.
+func (cn *conn) parse(b []byte) (*response, error) {
+	if r := cn.unconfirmed; r != nil {
+		cn.unconfirmed = nil
+		return r, r.checkTrailing(b)
+	}
+	r, err := cn.parser.feed(b)
+	if err == nil && r != nil && r.status == 200 && !r.repeated && !cn.transport.Idle() {
+		cn.unconfirmed = r
+		return nil, nil
+	}
+	return r, err
+}
+
+// completeCall passes a complete response to its call and makes the connection available for the next one.
+func (cn *conn) completeCall(r *response) {
+	f := cn.group.fleet
 	cn.responseBegun = false
 	cn.removeSilent()
 	c := cn.call
@@ -420,6 +443,12 @@
 
 // Closed implements transport.Handler: the connection was ended by the other side or by an error, or could not be established.
 func (cn *conn) Closed(reason transport.EndReason) {
+	if r := cn.unconfirmed; r != nil && cn.call != nil { // nothing has come behind the response
+		cn.unconfirmed = nil
+		r.closeConn = true
+		cn.completeCall(r)
+		return
+	}
 	if cn.transport != nil {
 		wasSilent := slices.Contains(cn.group.silent, cn)
 		cn.removeIdle()
--- a/internal/workergroup/response.go
+++ b/internal/workergroup/response.go
@@ -31,9 +31,24 @@
 	peakMB     float64 // Peak-Mb: peak memory of the query
 	report     choice.Report
 	closeConn  bool // the connection can't be used for another call
+	repeated   bool // a copy of the response follows it
+	head       *http1.Head
 	body       []byte
 }
 
+// errTrailingBytes is returned for a response with other bytes behind it than its own copy. Either its length is too short, so that
+// rows are missing, or it belongs to another call.
+var errTrailingBytes = errors.New("bytes behind the response")
+
+// checkTrailing checks bytes that were received behind the response.
+func (r *response) checkTrailing(b []byte) error {
+	if !r.head.RepeatedBy(r.body, b) {
+		return errTrailingBytes
+	}
+	r.repeated, r.closeConn = true, true
+	return nil
+}
+
 // hasResult reports whether the response is the valid first page of a result; further pages may still have to be fetched.
 func (r *response) hasResult() bool {
 	return r.status == 200 && r.pageCount > 0 && r.pageCount <= maxPages && validRows(r.body, r.pageCount == 1)
@@ -55,7 +70,7 @@
 }
 
 // feed adds received bytes and returns the response that they complete, or nil. As a connection carries one call at a time,
-// bytes after a response belong to no call: the response is valid, but the connection must be closed.
+// bytes after a response belong to no call: unless they are a copy of the response, feed returns errTrailingBytes.
 func (p *parser) feed(b []byte) (*response, error) {
 	p.buf = append(p.buf, b...)
 	for p.head == nil {
@@ -87,7 +102,12 @@
 	if !p.body.Done() {
 		return nil, nil
 	}
-	r := &response{status: p.head.Status, pageNumber: -1, closeConn: p.head.Close || len(p.buf) > 0, body: p.bodyBytes}
+	r := &response{status: p.head.Status, pageNumber: -1, closeConn: p.head.Close, head: p.head, body: p.bodyBytes}
+	if len(p.buf) > 0 {
+		if err := r.checkTrailing(p.buf); err != nil {
+			return nil, err
+		}
+	}
 	for _, f := range p.head.Fields {
 		if err := r.setHeader(f.Name, f.Value); err != nil {
 			return nil, fmt.Errorf("header %s: %v", f.Name, err)
