--- a/internal/chhttp/request.go
+++ b/internal/chhttp/request.go
@@ -362,7 +362,7 @@
 			request.OrderKey = "tables:" + strings.Join(request.Shape.Writes, "+")
 		}
 		if class.Idempotency == choice.Deduplicated && request.IdempotencyKey == "" {
-			request.IdempotencyKey = "once-" + request.ID
+			request.IdempotencyKey, request.KeyGenerated = "once-"+request.ID, true
 		}
 	}
 	if err := srv.Coordinator.Check(request); err != nil {
--- a/internal/config/local.go
+++ b/internal/config/local.go
@@ -50,6 +50,9 @@
 	User, Password string // credentials for ClickHouse engines; "": none
 }
 
+// IsClickHouse reports whether engines of the kind speak ClickHouse's HTTP interface.
+func (k Kind) IsClickHouse() bool { return k.Protocol == "clickhouse" }
+
 // User is a user of the ClickHouse interface.
 type User struct {
 	Tenant       string
@@ -390,6 +393,22 @@
 		AggregateClass: c.Local.ClickHouse.AggregateClass, WriteClass: c.Local.ClickHouse.WriteClass}
 }
 
+// ClassUsesClickHouse reports whether queries of a class may run on engines that speak ClickHouse's HTTP interface.
+func (c Config) ClassUsesClickHouse(name string) bool {
+	var only []string // the kinds on which the class may run; nil: all
+	for _, class := range c.Scheduler.Classes {
+		if class.Name == name {
+			only = class.Kinds
+		}
+	}
+	for kind, settings := range c.Local.Kinds {
+		if settings.IsClickHouse() && (len(only) == 0 || slices.Contains(only, kind)) {
+			return true
+		}
+	}
+	return false
+}
+
 // CheckReferences returns an error for each local setting that names a class, tenant or kind which the platform's
 // configuration does not have.
 func (c Config) CheckReferences() error {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -20,6 +20,7 @@
 type Request struct {
 	choice.Request
 	IdempotencyKey string // sent by the client, or generated from the request's id
+	KeyGenerated   bool   // the IdempotencyKey is generated: the client has not asked for repeats to be discarded
 	Statement      string
 	Protocol       string // protocol over which it arrived; requests are counted by it
 	Dialect        shape.Dialect
@@ -153,7 +154,10 @@
 	Shapes        *shape.Catalog
 	Role          func(class string) shape.Role // what the statements of a class may do
 	FillEstimates bool                          // use the learned estimate for requests without one
-	Faults        *faultlog.FaultLog
+	// DiscardsRepeats reports whether every engine that may run a recognized request discards repeats of it, as a deduplicated
+	// class promises. If it is nil, all engines do.
+	DiscardsRepeats func(r *Request) bool
+	Faults          *faultlog.FaultLog
 }
 
 // New creates a Coordinator. wake must cause a call of Turn soon, but must not call it directly.
@@ -207,7 +211,7 @@
 // have run. Without this, a write that its client sends under a class of lookups could run twice.
 func (c *Coordinator) prepare(r *Request) {
 	c.Recognize(r)
-	if reason := shape.CheckRole(c.roles[r.Class], &r.Shape.Info); reason != shape.NoReason {
+	if reason := c.unprovenReason(r); reason != shape.NoReason {
 		r.AtMostOnce, r.unproven = true, true
 		c.unprovenCounts[reason]++
 		c.statements.Faults.Add("statement-doubted", "why", reason, "class", r.Class, "kind", r.Shape.Kind,
@@ -223,6 +227,16 @@
 	}
 }
 
+// unprovenReason returns why a recognized request is not proven to keep the promise of its class, or NoReason.
+func (c *Coordinator) unprovenReason(r *Request) shape.Reason {
+	reason := shape.CheckRole(c.roles[r.Class], &r.Shape.Info)
+	if reason == shape.NoReason && c.classes[r.Class].Idempotency == choice.Deduplicated &&
+		c.statements.DiscardsRepeats != nil && !c.statements.DiscardsRepeats(r) {
+		return shape.RepeatNotDiscarded
+	}
+	return reason
+}
+
 // Unproven returns the number of requests whose statements were not proven safe to repeat for the given reason.
 func (c *Coordinator) Unproven(reason shape.Reason) uint64 { return c.unprovenCounts[reason] }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -78,8 +78,7 @@
 	shapes := shape.NewCatalog(shape.Options{MaxBytes: cfg.ShapeBytes(), HashSeed: cfg.Seed})
 	snapshots := loadShapes(shapes, cfg.Local.Shapes)
 	backend, clickHouse := coordinator.Backend(workerGroups), (*chengine.Fleet)(nil)
-	isClickHouse := func(kind config.Kind) bool { return kind.Protocol == "clickhouse" }
-	if slices.ContainsFunc(slices.Collect(maps.Values(cfg.Local.Kinds)), isClickHouse) {
+	if slices.ContainsFunc(slices.Collect(maps.Values(cfg.Local.Kinds)), config.Kind.IsClickHouse) {
 		workerGroups.MaxConns /= 2
 		clickHouse = &chengine.Fleet{Dialer: dialer, Deadlines: deadlines, Now: now, Faults: faults,
 			ConnIdleTimeout: min(cfg.ConnIdleTimeout*connIdleShare, clickHouseConnIdle),
@@ -90,7 +89,7 @@
 			MaxBufferedBytes: int(cfg.MemoryMB * (1 << 20) * resultMemoryShare)}
 		backend = &coordinator.Mux{Backends: []coordinator.Backend{workerGroups, clickHouse},
 			BackendIndex: func(listed coordinator.ListedEngine) int {
-				if isClickHouse(cfg.Local.Kinds[listed.Kind]) {
+				if cfg.Local.Kinds[listed.Kind].IsClickHouse() {
 					return 1
 				}
 				return 0
@@ -99,7 +98,9 @@
 	engineConns := workerGroups.MaxConns
 	coord := coordinator.New(cfg.Scheduler, now, deadlines, backend, wake,
 		coordinator.StatementOptions{Shapes: shapes, Role: cfg.ClassRules().Role, FillEstimates: cfg.Local.Shapes.FillEstimates,
-			Faults: faults})
+			Faults: faults, DiscardsRepeats: func(r *coordinator.Request) bool {
+				return !cfg.ClassUsesClickHouse(r.Class) || chengine.DiscardsRepeats(r)
+			}})
 	workerGroups.Listener = coord
 	if clickHouse != nil {
 		clickHouse.Listener, engineConns = coord, 2*engineConns
--- a/internal/shape/info.go
+++ b/internal/shape/info.go
@@ -43,12 +43,13 @@
 	UnknownKind                       // its kind is unknown for none of the other reasons
 	ReadClassWrites                   // it writes, but its class is for reads
 	ReadClassControls                 // it is a control statement, but its class is for reads
+	RepeatNotDiscarded                // engines that may run it do not discard repeats of it, although its class promises that
 	NumReasons                        // number of reasons
 )
 
 var reasonNames = [NumReasons]string{"", "malformed", "over-long", "unknown-word", "name-hidden", "several-statements", "do-body",
 	"dynamic", "function-with-effects", "schema-function", "reaches-elsewhere", "many-groups", "unknown-kind",
-	"class-reads-text-writes", "class-reads-text-controls"}
+	"class-reads-text-writes", "class-reads-text-controls", "repeat-not-discarded"}
 
 func (r Reason) String() string { return reasonNames[r] }
 
@@ -69,6 +70,8 @@
 	TableGroup string   // the table group that determines the warm engines and the locks, "" if there is none
 	Verb       string   // the first word, in upper case
 	Features   Features
+	// InsertsOwnRows: the statement is an INSERT, without settings of its own, whose rows all come with it.
+	InsertsOwnRows bool
 }
 
 // FeatureKey encodes the kind and the main features of a statement. Statements with similar features have the same key.
--- a/internal/shape/parser.go
+++ b/internal/shape/parser.go
@@ -113,6 +113,7 @@
 	state := &parseState{parser: p, tokens: tokenReader{text: canonical, pos: 1}, dialect: dialect, info: &info}
 	state.parseTokens()
 	state.finish()
+	info.InsertsOwnRows = info.Kind == Write && info.Reason == NoReason && insertsOwnRows(canonical)
 	return info
 }
 
