Count heads of ClickHouse clients whose body is on its way towards the memory limit

Unparsed input, short fields, half bodies and PostgreSQL clients stayed within 19 MB of 32.

Cause: a whole head counted no more while its body was on its way, the buffer that it had come in was kept beside it by an empty slice, and an open query held its whole head through parts of its text.

--- a/cmd/thymeway/memory_test.go
+++ b/cmd/thymeway/memory_test.go
@@ -32,40 +32,36 @@
 	return 0
 }
 
-// packedInsert returns an INSERT of some 900 KB, packed by gzip.
-func packedInsert(t *testing.T) []byte {
-	var packed bytes.Buffer
-	z := gzip.NewWriter(&packed)
-	text := "INSERT INTO sales_1.stock VALUES " + strings.Repeat("(17,'branch-017','2026-12-04','in stock'),", 22000) + "(1,'a','2026-12-04','b')"
-	if _, err := io.WriteString(z, text); err != nil {
-		t.Fatal(err)
-	}
-	if err := z.Close(); err != nil {
-		t.Fatal(err)
-	}
-	return packed.Bytes()
+// limitedProgram is the program as a process of its own with a limit on its memory, and six worker groups.
+type limitedProgram struct {
+	t                *testing.T
+	pid              int
+	memoryMB         float64
+	pgAddr, httpAddr string
+	log              *strings.Builder
 }
 
-// Guards against a process that is killed for its memory: hundreds of packed inserts come at once, each below the limit on one
-// body. Each must be answered, some of them served, and the process must stay within the memory of its configuration.
-func TestPackedInsertsExceedProcessMemory(t *testing.T) {
-	const memoryMB, inserts = 64, 150
+// startLimited starts the program with a memory limit in MB and waits until it serves clients of both protocols. script returns how
+// queries end; replaced holds further texts of the example configuration and their replacements in turn.
+func startLimited(t *testing.T, memoryMB float64, script func(standin.Query) standin.Answer, replaced ...string) *limitedProgram {
+	t.Helper()
 	var groups []string
 	for i := range 6 {
-		_, addr := startGroup(t, func(standin.Query) standin.Answer { return standin.Answer{RunTime: 800 * time.Millisecond} })
+		_, addr := startGroup(t, script)
 		groups = append(groups, listedGroup(fmt.Sprint("s-", i), addr))
 	}
-	dir, pgAddr, httpAddr := t.TempDir(), freeAddr(t), freeAddr(t)
-	file := filepath.Join(dir, "config.json")
-	writeConfig(t, file, groups, "127.0.0.1:5499", pgAddr, "127.0.0.1:8599", freeAddr(t),
-		`"memory_mb": 192`, fmt.Sprintf(`"memory_mb": %d`, memoryMB))
-	localFile := filepath.Join(dir, "thymeway.ini")
-	if err := os.WriteFile(localFile, []byte("[clickhouse]\nlisten = "+httpAddr+"\n"), 0o600); err != nil {
+	dir := t.TempDir()
+	p := &limitedProgram{t: t, memoryMB: memoryMB, pgAddr: freeAddr(t), httpAddr: freeAddr(t)}
+	file, localFile := filepath.Join(dir, "config.json"), filepath.Join(dir, "thymeway.ini")
+	writeConfig(t, file, groups, append(replaced, "127.0.0.1:5499", p.pgAddr, "127.0.0.1:8599", freeAddr(t),
+		`"memory_mb": 192`, fmt.Sprintf(`"memory_mb": %.0f`, memoryMB))...)
+	if err := os.WriteFile(localFile, []byte("[clickhouse]\nlisten = "+p.httpAddr+"\n"), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	t.Setenv("EDGE_CONFIG", file)
 	t.Setenv("THYMEWAY_INI", localFile)
 	program, log := startProgram(t)
+	p.pid, p.log = program.Process.Pid, log
 	t.Cleanup(func() {
 		_ = program.Process.Kill()
 		_ = program.Wait()
@@ -75,18 +71,40 @@
 	})
 	client := &http.Client{Timeout: 30 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for end := time.Now().Add(30 * time.Second); ; time.Sleep(10 * time.Millisecond) {
-		if r, err := client.Get("http://" + httpAddr + "/ping"); err == nil {
+		if r, err := client.Get("http://" + p.httpAddr + "/ping"); err == nil {
 			_ = r.Body.Close()
-			break
+			return p
 		}
 		if time.Now().After(end) {
 			t.Fatal("the program does not start")
 		}
 	}
+}
+
+// packedInsert returns an INSERT of some 900 KB, packed by gzip.
+func packedInsert(t *testing.T) []byte {
+	var packed bytes.Buffer
+	z := gzip.NewWriter(&packed)
+	text := "INSERT INTO sales_1.stock VALUES " + strings.Repeat("(17,'branch-017','2026-12-04','in stock'),", 22000) + "(1,'a','2026-12-04','b')"
+	if _, err := io.WriteString(z, text); err != nil {
+		t.Fatal(err)
+	}
+	if err := z.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return packed.Bytes()
+}
+
+// Guards against a process that is killed for its memory: hundreds of packed inserts come at once, each below the limit on one
+// body. Each must be answered, some of them served, and the process must stay within the memory of its configuration.
+func TestPackedInsertsExceedProcessMemory(t *testing.T) {
+	const memoryMB, inserts = 64, 150
+	p := startLimited(t, memoryMB, func(standin.Query) standin.Answer { return standin.Answer{RunTime: 800 * time.Millisecond} })
+	client := &http.Client{Timeout: 30 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	body, statuses, all := packedInsert(t), make([]int, inserts), sync.WaitGroup{}
 	for i := range inserts {
 		all.Go(func() {
-			request, err := http.NewRequest("POST", fmt.Sprintf("http://%s/?user=acme&order_key=k%d", httpAddr, i), bytes.NewReader(body))
+			request, err := http.NewRequest("POST", fmt.Sprintf("http://%s/?user=acme&order_key=k%d", p.httpAddr, i), bytes.NewReader(body))
 			if err != nil {
 				return
 			}
@@ -110,7 +128,7 @@
 			done = true
 		case <-time.After(2 * time.Millisecond):
 		}
-		peakMB = max(peakMB, ownMemoryMB(t, program.Process.Pid))
+		peakMB = max(peakMB, ownMemoryMB(t, p.pid))
 	}
 	counts := map[int]int{}
 	for _, status := range statuses {
--- a/internal/chengine/fleet.go
+++ b/internal/chengine/fleet.go
@@ -19,6 +19,7 @@
 	"thymeway/internal/deadline"
 	"thymeway/internal/directory"
 	"thymeway/internal/faultlog"
+	"thymeway/internal/membudget"
 	"thymeway/internal/result"
 	"thymeway/internal/shape"
 	"thymeway/internal/transport"
@@ -49,10 +50,10 @@
 	// Credentials returns the login for engines of a kind. If it is nil or returns an empty user, no login is sent.
 	Credentials func(kind string) (user, password string)
 
-	engines       directory.Directory[*engine]
-	attempts      map[attemptKey]*attempt
-	conns         int
-	bufferedBytes int // bytes of all response bodies being received
+	engines  directory.Directory[*engine]
+	attempts map[attemptKey]*attempt
+	conns    int
+	buffered membudget.Budget // bytes of all response bodies being received
 }
 
 // attemptKey identifies an attempt by its request and its number within the request.
--- a/internal/chengine/pool.go
+++ b/internal/chengine/pool.go
@@ -8,6 +8,7 @@
 	"thymeway/internal/deadline"
 	"thymeway/internal/directory"
 	"thymeway/internal/http1"
+	"thymeway/internal/membudget"
 	"thymeway/internal/transport"
 )
 
@@ -59,10 +60,10 @@
 	scannedBytes     int         // leading bytes of input that were searched for progress headers
 	head             *http1.Head // of the response being received; nil while it is incomplete
 	bodyDecoder      *http1.BodyDecoder
-	receivedBody     []byte    // body received so far
-	unconfirmed      *response // complete by its length, while there is unread input that may show that its length is wrong
-	countedBytes     int       // bytes of receivedBody included in the fleet's bufferedBytes
-	interimResponses int       // responses with status 1xx before the final one
+	receivedBody     []byte          // body received so far
+	unconfirmed      *response       // complete by its length, while there is unread input that may show that its length is wrong
+	buffered         membudget.Share // bytes of receivedBody
+	interimResponses int             // responses with status 1xx before the final one
 	closed           bool
 	timer            deadline.Entry // closes an idle connection
 }
@@ -90,7 +91,8 @@
 		c.done(nil, transport.NoDescriptor)
 		return
 	}
-	cn := &conn{engine: e, server: e.ServerID(), generation: e.Generation(), call: c}
+	cn := &conn{engine: e, server: e.ServerID(), generation: e.Generation(), call: c,
+		buffered: membudget.Share{Budget: &e.fleet.buffered}}
 	c.conn = cn
 	e.conns++
 	e.fleet.conns++
@@ -165,7 +167,7 @@
 // detach removes a closed connection from its engine and the fleet.
 func (cn *conn) detach() {
 	cn.closed = true
-	cn.setCountedBytes(0)
+	cn.buffered.Set(0)
 	e := cn.engine
 	e.fleet.Deadlines.Cancel(&cn.timer)
 	for i, x := range e.idle {
@@ -320,14 +322,13 @@
 	cn.receivedBody = received
 	cn.input = append(cn.input[:0], cn.input[used:]...)
 	// MaxResultBytes limits one result only. Without this check, the results of many attempts together could use up the memory.
-	if f := cn.engine.fleet; f.MaxBufferedBytes > 0 && f.bufferedBytes-cn.countedBytes+len(received) > f.MaxBufferedBytes {
+	if !cn.buffered.Reserve(len(received), cn.engine.fleet.MaxBufferedBytes) {
 		return nil, errBufferLimit
 	}
-	cn.setCountedBytes(len(received))
 	if err != nil || !cn.bodyDecoder.Done() {
 		return nil, err
 	}
-	cn.setCountedBytes(0)
+	cn.buffered.Set(0)
 	r := &response{cn.head, cn.receivedBody}
 	cn.head, cn.bodyDecoder, cn.receivedBody, cn.interimResponses = nil, nil, nil, 0
 	if cap(cn.input) > 8<<10 {
@@ -339,12 +340,6 @@
 // errBufferLimit is returned when the results being received would exceed Fleet.MaxBufferedBytes.
 var errBufferLimit = errors.New("results being received exceed their memory limit")
 
-// setCountedBytes sets the connection's share of the fleet's bufferedBytes.
-func (cn *conn) setCountedBytes(count int) {
-	cn.engine.fleet.bufferedBytes += count - cn.countedBytes
-	cn.countedBytes = count
-}
-
 // scanProgress passes on the new progress headers in a head that is still incomplete.
 func (cn *conn) scanProgress() {
 	for cn.call != nil && cn.call.progress != nil {
--- a/internal/chhttp/memory.go
+++ b/internal/chhttp/memory.go
@@ -1,26 +1,45 @@
 package chhttp
 
-import "math"
+import (
+	"strings"
+
+	"thymeway/internal/http1"
+)
 
 // This file accounts for the memory that the requests of all sessions take. The limits on one request do not suffice: the
-// requests of a few hundred clients together could use up the memory. Heads that are being received are not counted one by one,
-// as maxHeadBytes and the number of connections bound them.
+// requests of a few hundred clients together could use up the memory.
+
+const (
+	freeHeadBytes  = 1 << 10 // of a head whose body is being received are not counted: the number of connections bounds these
+	fieldSizeBytes = 32      // of a header field, beside its text
+)
+
+// headMemory returns the number of bytes that a parsed head of the given length counts with. The texts of its fields are parts of
+// one string, which stays in memory as long as any of them does.
+func headMemory(head *http1.Head, length int) int {
+	return max(length+fieldSizeBytes*len(head.Fields)-freeHeadBytes, 0)
+}
+
+// fieldValue returns a copy of the value of a header field, for use after the request has been read. The value itself would keep the
+// whole head in memory.
+func fieldValue(head *http1.Head, name string) string { return strings.Clone(head.Get(name)) }
 
 // errNoMemory refuses a request that would make all sessions together hold more than MaxHeldBytes. The request was not sent to
 // any engine, so a retry is harmless.
 var errNoMemory = newException(codeMemoryLimit, "the requests of all clients take what memory there is for them")
 
 // HeldBytes returns the number of bytes that the requests of all sessions hold.
-func (srv *Server) HeldBytes() int { return srv.heldBytes }
+func (srv *Server) HeldBytes() int { return srv.held.Held() }
 
 // MemoryRefusals returns the number of requests that were refused for lack of memory.
 func (srv *Server) MemoryRefusals() uint64 { return srv.memoryRefusals }
 
-// neededBytes returns the number of bytes that the session holds or is about to receive: unparsed input, the body of a request,
-// an open query.
+// neededBytes returns the number of bytes that the session holds or is about to receive: unparsed input, the head and the body of a
+// request, an open query.
 func (s *Session) neededBytes() int {
 	n := len(s.input)
 	if s.head != nil {
+		n += s.headBytes
 		n += max(int(s.head.ContentLength)-len(s.input), len(s.receivedBody))
 	}
 	if s.query != nil {
@@ -44,34 +63,13 @@
 	return n
 }
 
-// reserveBytes sets the session's share of the server's heldBytes. It returns false, and changes nothing, if the sum would exceed
-// MaxHeldBytes.
-func (s *Session) reserveBytes(count int) bool {
-	if count > s.countedBytes && count > s.availableBytes() {
-		return false
-	}
-	s.setCountedBytes(count)
-	return true
-}
-
-// availableBytes returns the largest share of heldBytes that the session may have.
-func (s *Session) availableBytes() int {
-	srv := s.server
-	if srv.MaxHeldBytes == 0 {
-		return math.MaxInt
-	}
-	return max(srv.MaxHeldBytes-(srv.heldBytes-s.countedBytes), 0)
-}
-
-// setCountedBytes sets the session's share without a check, for a session that holds no more than before.
-func (s *Session) setCountedBytes(count int) {
-	s.server.heldBytes += count - s.countedBytes
-	s.countedBytes = count
-}
+// reserveBytes sets the number of bytes that the session counts with. It returns false, and changes nothing, if all sessions would
+// hold more than MaxHeldBytes.
+func (s *Session) reserveBytes(count int) bool { return s.held.Reserve(count, s.server.MaxHeldBytes) }
 
 // textLimit returns the largest size that the session's next query may have once it is unpacked and its parameters are filled in.
 func (s *Session) textLimit() int {
-	return max(min(s.server.Config.Local.ClickHouse.MaxBodyBytes, s.availableBytes()-len(s.input)), 0)
+	return max(min(s.server.Config.Local.ClickHouse.MaxBodyBytes, s.held.Available(s.server.MaxHeldBytes)-len(s.input)), 0)
 }
 
 // tooLargeError returns the error for a query over a limit that textLimit has returned.
@@ -86,7 +84,7 @@
 // the connection are not delayed.
 func (s *Session) refuseForMemory() {
 	s.server.memoryRefusals++
-	s.server.Faults.Add("client-no-memory", "protocol", "clickhouse", "held", s.server.heldBytes, "limit", s.server.MaxHeldBytes)
+	s.server.Faults.Add("client-no-memory", "protocol", "clickhouse", "held", s.server.HeldBytes(), "limit", s.server.MaxHeldBytes)
 	s.writeException(503, errNoMemory, nil)
 }
 
--- a/internal/chhttp/memory_test.go
+++ b/internal/chhttp/memory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -59,8 +60,8 @@
 				session, conn := srv.Accept(), &fakeConn{}
 				session.Opened(conn)
 				session.Received([]byte(request))
-				if held := coord.bytesHeld(); held > srv.heldBytes || srv.heldBytes > maxHeldBytes {
-					t.Fatalf("%d bytes are held, %d are counted", held, srv.heldBytes)
+				if held := coord.bytesHeld(); held > srv.HeldBytes() || srv.HeldBytes() > maxHeldBytes {
+					t.Fatalf("%d bytes are held, %d are counted", held, srv.HeldBytes())
 				}
 				if session.query != nil {
 					continue
@@ -97,3 +98,42 @@
 		t.Errorf("%d requests are open and hold %d bytes; answer %q", len(coord.open), coord.bytesHeld(), out)
 	}
 }
+
+// Guards against exceeding the memory limit with heads: those whose body has not come yet count towards MaxHeldBytes, and an open
+// query does not keep its whole head in memory.
+func TestHeadsExceedMemoryLimit(t *testing.T) {
+	const sessions, fieldBytes, maxHeldBytes = 100, 50 << 10, 1 << 20
+	head := "POST /?user=acme&database=lake HTTP/1.1\r\nHost: x\r\nX-ClickHouse-Format: TabSeparated\r\nX-Order-Key: k1\r\nX-Long: " +
+		strings.Repeat("x", fieldBytes) + "\r\nContent-Length: 8\r\n\r\n"
+	heap := func() uint64 {
+		var stats runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&stats)
+		return stats.HeapAlloc
+	}
+	for _, complete := range []bool{false, true} {
+		srv, coord, _ := newTestServer(t)
+		srv.MaxHeldBytes, srv.ConnLimiter.MaxConnections = maxHeldBytes, sessions
+		var open []*Session
+		before := heap()
+		for range sessions {
+			session, conn := srv.Accept(), &fakeConn{}
+			session.Opened(conn)
+			session.Received([]byte(head))
+			if complete {
+				session.Received([]byte("SELECT 7"))
+			}
+			if !session.closed {
+				open = append(open, session)
+			}
+		}
+		grown := int(heap()) - int(before)
+		runtime.KeepAlive(open)
+		if grown > 2*maxHeldBytes || srv.HeldBytes() > maxHeldBytes {
+			t.Errorf("complete %v: %d requests take %d bytes, %d are counted of %d", complete, len(open), grown, srv.HeldBytes(), maxHeldBytes)
+		}
+		if complete && (len(open) != sessions || len(coord.open) != sessions) {
+			t.Errorf("%d queries are open, %d sessions, want %d", len(coord.open), len(open), sessions)
+		}
+	}
+}
--- a/internal/chhttp/request.go
+++ b/internal/chhttp/request.go
@@ -134,7 +134,8 @@
 		case len(parameters) >= maxParameters:
 			return path, nil, newException(codeBadArguments, "over %d parameters", maxParameters)
 		}
-		parameters[name] = value
+		// Unescaping returns a part of the target where nothing is escaped. It would keep the whole head in memory.
+		parameters[strings.Clone(name)] = strings.Clone(value)
 	}
 	return path, parameters, nil
 }
@@ -153,7 +154,7 @@
 	}
 	if s, ok := head.Find("x-clickhouse-user"); ok {
 		methods++
-		name, password = firstNonEmpty(s, name), head.Get("x-clickhouse-key")
+		name, password = firstNonEmpty(strings.Clone(s), name), head.Get("x-clickhouse-key")
 	}
 	if s, ok := head.Find("authorization"); ok {
 		methods++
@@ -223,7 +224,7 @@
 	if err != nil {
 		return nil, err
 	}
-	quotaKey := firstNonEmpty(parameters["quota_key"], head.Get("x-clickhouse-quota"))
+	quotaKey := firstNonEmpty(parameters["quota_key"], fieldValue(head, "x-clickhouse-quota"))
 	tenant, err := srv.authenticate(name, password, quotaKey)
 	if err != nil {
 		return nil, err
@@ -291,7 +292,7 @@
 	if request.Tenant != tenant && len(srv.Config.Local.Users) > 0 {
 		return newException(codeAuth, "user %.60s does not belong to %.60s", q.user, request.Tenant)
 	}
-	q.format = firstNonEmpty(parameters["default_format"], firstNonEmpty(head.Get("x-clickhouse-format"), "TabSeparated"))
+	q.format = firstNonEmpty(parameters["default_format"], firstNonEmpty(fieldValue(head, "x-clickhouse-format"), "TabSeparated"))
 	if name, clause, ok := shape.FindFormatClause(text); ok {
 		q.format = name
 		text = strings.TrimRight(text[:clause.Start], " \t\r\n") + text[clause.End:]
@@ -300,7 +301,7 @@
 		return newException(codeUnknownFormat, "Unknown format %.60s", q.format)
 	}
 	clickHouse := &coordinator.ClickHouse{Text: text, Data: data,
-		Database: firstNonEmpty(parameters["database"], head.Get("x-clickhouse-database"))}
+		Database: firstNonEmpty(parameters["database"], fieldValue(head, "x-clickhouse-database"))}
 	queryParams := map[string]string{}
 	for _, name := range sortedNames(parameters) {
 		if param, ok := strings.CutPrefix(name, "param_"); ok {
@@ -348,7 +349,7 @@
 			return newException(codeBadArguments, "insert_deduplication_token: %v", err)
 		}
 	}
-	if orderKey := firstNonEmpty(head.Get(srv.Config.Local.ClickHouse.KeyHeader),
+	if orderKey := firstNonEmpty(fieldValue(head, srv.Config.Local.ClickHouse.KeyHeader),
 		parameters[srv.Config.Local.ClickHouse.KeySetting]); orderKey != "" {
 		if request.OrderKey, err = queryfields.ParseWord(orderKey); err != nil {
 			return newException(codeBadArguments, "%s: %v", srv.Config.Local.ClickHouse.KeySetting, err)
--- a/internal/chhttp/server.go
+++ b/internal/chhttp/server.go
@@ -15,6 +15,7 @@
 	"thymeway/internal/deadline"
 	"thymeway/internal/faultlog"
 	"thymeway/internal/http1"
+	"thymeway/internal/membudget"
 	"thymeway/internal/result"
 	"thymeway/internal/transport"
 )
@@ -56,8 +57,8 @@
 	ShuttingDown bool // new queries are refused
 
 	startedAt      float64
-	heldBytes      int    // bytes of requests that all sessions hold
-	memoryRefusals uint64 // requests that were refused as they did not fit into MaxHeldBytes
+	held           membudget.Budget // bytes of requests that all sessions hold
+	memoryRefusals uint64           // requests that were refused as they did not fit into MaxHeldBytes
 	sessions       map[*Session]bool
 	queries        map[string]*Session // sessions with an open query, by its query_id
 	sessionLocks   map[string]*Session // sessions with an open query, by its user and session_id
@@ -89,23 +90,24 @@
 	faultsInARow       int         // consecutive refused requests
 	input              []byte      // received, but not parsed yet
 	head               *http1.Head // of the request whose body is being received
+	headBytes          int         // bytes of memory that the head counts with
 	bodyDecoder        *http1.BodyDecoder
-	receivedBody       []byte         // body received so far
-	countedBytes       int            // bytes of this session included in the server's heldBytes
-	query              *query         // the open query, if any
-	queryStartedAt     float64        // when the open query was accepted
-	headOnly           bool           // the request being answered has the method HEAD: its response has no body
-	headSent           bool           // the status line of the response was sent, ahead of progress headers
-	closeAfterResponse bool           // the connection is closed after the next response
-	requestCount       uint64         // requests received completely
-	requestTimer       deadline.Entry // limits the time for receiving a request
-	resumeTimer        deadline.Entry // ends a pause
-	idleTimer          deadline.Entry // closes an idle connection
+	receivedBody       []byte          // body received so far
+	held               membudget.Share // bytes of this session's requests
+	query              *query          // the open query, if any
+	queryStartedAt     float64         // when the open query was accepted
+	headOnly           bool            // the request being answered has the method HEAD: its response has no body
+	headSent           bool            // the status line of the response was sent, ahead of progress headers
+	closeAfterResponse bool            // the connection is closed after the next response
+	requestCount       uint64          // requests received completely
+	requestTimer       deadline.Entry  // limits the time for receiving a request
+	resumeTimer        deadline.Entry  // ends a pause
+	idleTimer          deadline.Entry  // closes an idle connection
 }
 
 // Accept creates the session of a new connection.
 func (srv *Server) Accept() *Session {
-	s := &Session{server: srv}
+	s := &Session{server: srv, held: membudget.Share{Budget: &srv.held}}
 	s.requestTimer.Do = func() {
 		srv.Faults.Add("client-slow", "protocol", "clickhouse")
 		s.refuseAndClose(408, newException(codeProtocol, "no whole request in time"))
@@ -210,7 +212,7 @@
 			s.refuseMalformed(err)
 			return false
 		}
-		s.head, s.input = head, s.input[n:]
+		s.head, s.headBytes, s.input = head, headMemory(head, n), s.input[n:]
 		s.headOnly = head.Method == "HEAD"
 		s.receivedBody = nil
 		if expectation := head.Get("expect"); expectation != "" {
@@ -238,14 +240,10 @@
 		return false
 	}
 	if !s.bodyDecoder.Done() {
-		if len(s.input) > 0 { // a copy, so that the parsed part is freed
-			s.input = append([]byte(nil), s.input...)
-		} else {
-			s.input = s.input[:0:0]
-		}
+		s.input = cloneRest(s.input)
 		return false
 	}
-	s.input = append([]byte(nil), s.input...)
+	s.input = cloneRest(s.input)
 	srv.Deadlines.Cancel(&s.requestTimer)
 	head, body := s.head, s.receivedBody
 	s.head, s.bodyDecoder, s.receivedBody = nil, nil, nil
@@ -255,6 +253,10 @@
 	return true
 }
 
+// cloneRest returns a copy of input that is not parsed yet, so that the parsed part before it is freed. It returns nil for no input, as
+// an empty slice would keep the whole array in memory.
+func cloneRest(input []byte) []byte { return append([]byte(nil), input...) }
+
 // pause stops the handling of requests for a duration in ms.
 func (s *Session) pause(duration float64) {
 	s.paused = true
@@ -412,7 +414,7 @@
 		return nil
 	}
 	s.query = nil
-	s.setCountedBytes(min(s.neededBytes(), s.countedBytes))
+	s.held.Set(min(s.neededBytes(), s.held.Bytes()))
 	if s.server.queries[q.id] == s {
 		delete(s.server.queries, q.id)
 	}
@@ -447,5 +449,5 @@
 		s.server.Deadlines.Cancel(e)
 	}
 	s.dropQuery()
-	s.setCountedBytes(0)
+	s.held.Set(0)
 }
--- a/internal/chhttp/server_test.go
+++ b/internal/chhttp/server_test.go
@@ -147,30 +147,30 @@
 			t.Errorf("a request beyond the limit receives %q", conn.output.String())
 		}
 	}
-	if second.output.Len() > 0 || srv.heldBytes != 80 {
-		t.Errorf("%d bytes are held; the second client receives %q", srv.heldBytes, second.output.String())
+	if second.output.Len() > 0 || srv.HeldBytes() != 80 {
+		t.Errorf("%d bytes are held; the second client receives %q", srv.HeldBytes(), second.output.String())
 	}
 	first.Received([]byte(strings.Repeat(" ", 28) + "1 + 1 "))
 	const parameterBytes = len("user" + "acme") // an open request holds its parameters too
-	if len(coord.open) != 1 || srv.heldBytes != 80+parameterBytes {
-		t.Errorf("%d requests open, %d bytes held", len(coord.open), srv.heldBytes)
+	if len(coord.open) != 1 || srv.HeldBytes() != 80+parameterBytes {
+		t.Errorf("%d requests open, %d bytes held", len(coord.open), srv.HeldBytes())
 	}
 	first.Received([]byte("GET /ping")) // input received while a request is open counts too
-	if srv.heldBytes != 89+parameterBytes {
-		t.Errorf("%d bytes are held with input behind an open request", srv.heldBytes)
+	if srv.HeldBytes() != 89+parameterBytes {
+		t.Errorf("%d bytes are held with input behind an open request", srv.HeldBytes())
 	}
 	first.Refuse(0)
 	first.Received([]byte(" HTTP/1.1\r\nHost: x\r\n\r\n"))
-	if srv.heldBytes != 40 {
-		t.Errorf("%d bytes are held after an answer", srv.heldBytes)
+	if srv.HeldBytes() != 40 {
+		t.Errorf("%d bytes are held after an answer", srv.HeldBytes())
 	}
 	for _, session := range all {
 		if !session.closed {
 			session.Closed(transport.ConnReset)
 		}
 	}
-	if srv.heldBytes != 0 {
-		t.Errorf("%d bytes are held after all connections were closed", srv.heldBytes)
+	if srv.HeldBytes() != 0 {
+		t.Errorf("%d bytes are held after all connections were closed", srv.HeldBytes())
 	}
 }
 
@@ -189,9 +189,9 @@
 		for range 200 {
 			session.Received([]byte(strings.Repeat("x", 8192)))
 		}
-		if !conn.closed || len(coord.open) != 0 || srv.heldBytes != 0 || len(srv.queries) != 0 {
+		if !conn.closed || len(coord.open) != 0 || srv.HeldBytes() != 0 || len(srv.queries) != 0 {
 			t.Errorf("limit %d: closed %v, %d requests open, %d bytes held",
-				maxHeldBytes, conn.closed, len(coord.open), srv.heldBytes)
+				maxHeldBytes, conn.closed, len(coord.open), srv.HeldBytes())
 		}
 	}
 }
@@ -229,7 +229,7 @@
 			srv.Deadlines.RunDue(*now)
 		}
 		if _, scheduled := srv.Deadlines.Next(); scheduled || len(coord.open) > 0 || len(srv.queries) > 0 ||
-			len(srv.sessionLocks) > 0 || len(srv.sessions) > 0 || srv.ConnLimiter.Count() != 0 || srv.heldBytes != 0 {
+			len(srv.sessionLocks) > 0 || len(srv.sessions) > 0 || srv.ConnLimiter.Count() != 0 || srv.HeldBytes() != 0 {
 			t.Fatalf("left over: deadlines %v, %d requests, %d queries, %d locks, %d sessions, %d connection slots", scheduled,
 				len(coord.open), len(srv.queries), len(srv.sessionLocks), len(srv.sessions), srv.ConnLimiter.Count())
 		}
