Limit the memory that messages of all PostgreSQL sessions take together

Cause: the smallest limit on one message, 16 KB, is more than each session's part of a tenth of the memory where the memory is small.

Change: messages and open queries beyond 4 KB each count towards a tenth of the memory. A message beyond that gets 53200 and ends its session, or 54000 where a query is open, as that one may have run. Small queries are always accepted.

--- a/cmd/thymeway/slow_clients_test.go
+++ b/cmd/thymeway/slow_clients_test.go
@@ -170,3 +170,21 @@
 		})
 	}
 }
+
+// Guards against the same with thousands of sessions: a tenth of the memory is less than the smallest limit on a message for each.
+func TestManySlowSessionsExceedProcessMemory(t *testing.T) {
+	const sessions = 2300
+	for _, crowd := range slowCrowds() {
+		if !crowd.pg {
+			continue
+		}
+		t.Run(crowd.name, func(t *testing.T) {
+			p := startLimited(t, crowdMemoryMB, runSlowStatements, `"sockets": 1024`, `"sockets": 4096`)
+			peak := p.play(crowd, sessions)
+			t.Logf("peak %.0f MB of %.0f", peak, p.memoryMB)
+			if peak > p.memoryMB {
+				t.Errorf("peak %.0f MB of %.0f", peak, p.memoryMB)
+			}
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -112,6 +112,7 @@
 		Postgres: &pg.Server{Coordinator: coord, Deadlines: deadlines, Faults: faults, Now: now, AnswerMargin: answerMargin,
 			ConnLimiter:   clientSlots,
 			MaxInputBytes: min(max(int(cfg.MemoryMB*(1<<20)*inputMemoryShare)/maxClients, minInputBytes), maxInputBytes),
+			MaxHeldBytes:  int(cfg.MemoryMB * (1 << 20) * inputMemoryShare),
 			Random:        rand.New(rand.NewSource(int64(cfg.Seed) + 1))},
 		Discovery: &discovery.Watcher{Dialer: dialer, Deadlines: deadlines, Now: now, Listener: coord, Addr: cfg.DiscoveryAddr,
 			ConnectTimeout: 2 * cfg.ConnectTimeout, WarmUpTime: cfg.Scheduler.WarmUpTime}}
--- a/internal/pg/session.go
+++ b/internal/pg/session.go
@@ -12,6 +12,7 @@
 	"thymeway/internal/coordinator"
 	"thymeway/internal/deadline"
 	"thymeway/internal/faultlog"
+	"thymeway/internal/membudget"
 	"thymeway/internal/queryfields"
 	"thymeway/internal/result"
 	"thymeway/internal/transport"
@@ -22,6 +23,7 @@
 const (
 	codeRefused      = "53000" // insufficient_resources
 	codeTooManyConns = "53300" // too_many_connections
+	codeNoMemory     = "53200" // out_of_memory
 	codeShuttingDown = "57P03" // cannot_connect_now
 	codeFailed       = "58000" // system_error
 	codeCanceled     = "57014" // query_canceled
@@ -59,9 +61,11 @@
 	AnswerMargin  float64        // ms by which the answer is due before the client's time limit, to allow for its transfer
 	ConnLimiter   *connlimit.Limiter
 	MaxInputBytes int // largest size of a message, and of the messages that wait for the end of an open query
+	MaxHeldBytes  int // bytes of large messages and queries that all sessions together may hold; 0: no limit
 	Random        *rand.Rand
 	ShuttingDown  bool                // new queries are rejected
 	sessions      map[uint32]*Session // started sessions, by process id
+	held          membudget.Budget    // bytes of large messages and queries that all sessions hold
 }
 
 // Pending returns the number of bytes to all clients that the system has not accepted yet.
@@ -88,8 +92,9 @@
 	secret       uint32
 	request      *coordinator.Request // the open query; nil: none
 	slot         *connlimit.Slot
-	messageTimer deadline.Entry // ends the wait for a complete message
-	resumeTimer  deadline.Entry // ends a pause
+	held         membudget.Share // bytes of this session's large messages and query
+	messageTimer deadline.Entry  // ends the wait for a complete message
+	resumeTimer  deadline.Entry  // ends a pause
 }
 
 // Accept returns the session for a new connection.
@@ -97,7 +102,7 @@
 	if srv.sessions == nil {
 		srv.sessions = map[uint32]*Session{}
 	}
-	s := &Session{server: srv}
+	s := &Session{server: srv, held: membudget.Share{Budget: &srv.held}}
 	s.messageTimer.Do = func() { s.failSession("client-slow", codeProtocol, "no whole message in time") }
 	s.resumeTimer.Do = func() {
 		s.paused = false
@@ -132,7 +137,9 @@
 	}
 	s.slot.MarkBusy()
 	s.input = append(s.input, b...)
-	s.processInput()
+	if s.reserveMemory() {
+		s.processInput()
+	}
 }
 
 // processInput handles the complete messages of the input. While a query is open, the messages after it wait for its answer.
@@ -174,6 +181,9 @@
 		return
 	}
 	s.input = append(s.input[:0], s.input[consumed:]...)
+	if !s.reserveMemory() {
+		return
+	}
 	switch {
 	case len(s.input) > srv.MaxInputBytes+5: // a client that keeps sending while a query is open would exhaust the memory
 		s.failSession("client-garbled", codeTooLarge, fmt.Sprintf("over %d bytes behind an open query", srv.MaxInputBytes))
@@ -384,6 +394,7 @@
 // cleanUp releases everything that the session holds and withdraws its open request.
 func (s *Session) cleanUp() {
 	s.closed, s.input = true, nil
+	s.held.Set(0)
 	s.slot.Release()
 	s.server.Deadlines.Cancel(&s.messageTimer)
 	s.server.Deadlines.Cancel(&s.resumeTimer)
