Take 16 connections at a time for /metrics

Cause: net/http bounds the head of each connection, and nothing the number of connections.

The crowds "half a scrape" and "short fields of a scrape" of TestSlowClientsExceedProcessMemory are new, the latter failed before; all 18 pass.

--- a/cmd/thymeway/memory_test.go
+++ b/cmd/thymeway/memory_test.go
@@ -38,6 +38,7 @@
 	pid              int
 	memoryMB         float64
 	pgAddr, httpAddr string
+	metricsAddr      string
 	log              *strings.Builder
 }
 
@@ -51,11 +52,11 @@
 		groups = append(groups, listedGroup(fmt.Sprint("s-", i), addr))
 	}
 	dir := t.TempDir()
-	p := &limitedProgram{t: t, memoryMB: memoryMB, pgAddr: freeAddr(t), httpAddr: freeAddr(t)}
+	p := &limitedProgram{t: t, memoryMB: memoryMB, pgAddr: freeAddr(t), httpAddr: freeAddr(t), metricsAddr: freeAddr(t)}
 	file, localFile := filepath.Join(dir, "config.json"), filepath.Join(dir, "thymeway.ini")
 	writeConfig(t, file, groups, append(replaced, "127.0.0.1:5499", p.pgAddr, "127.0.0.1:8599", freeAddr(t),
 		`"memory_mb": 192`, fmt.Sprintf(`"memory_mb": %.0f`, memoryMB))...)
-	if err := os.WriteFile(localFile, []byte("[clickhouse]\nlisten = "+p.httpAddr+"\n"), 0o600); err != nil {
+	if err := os.WriteFile(localFile, []byte("[clickhouse]\nlisten = "+p.httpAddr+"\n[metrics]\nlisten = "+p.metricsAddr+"\n"), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	t.Setenv("EDGE_CONFIG", file)
--- a/cmd/thymeway/slow_clients_test.go
+++ b/cmd/thymeway/slow_clients_test.go
@@ -31,10 +31,19 @@
 // queryHeader returns the header of a query message with a body of the given size.
 func queryHeader(size int) []byte { return binary.BigEndian.AppendUint32([]byte{'Q'}, uint32(size+4)) }
 
+// front is what a crowd connects to.
+type front int
+
+const (
+	clickHouseFront front = iota
+	postgresFront
+	metricsFront
+)
+
 // slowCrowd is a kind of clients that write slowly, stop in the middle, or send many header fields.
 type slowCrowd struct {
 	name  string
-	pg    bool
+	front front
 	parts [][]byte // written one after the other, with a pause between
 }
 
@@ -44,7 +53,7 @@
 	idBytes = 16
 )
 
-// slowCrowds returns the crowds of both protocols.
+// slowCrowds returns the crowds of all fronts.
 func slowCrowds() []slowCrowd {
 	pieces := func(text string, n int) (parts [][]byte) {
 		for i := range n {
@@ -59,22 +68,24 @@
 	openQuery := "/* verb=report,txn=" + idVerb + ",limit=9000,team=acme */ SELECT a FROM sales_1.t -- slow " +
 		strings.Repeat("x", 15000) + "\x00"
 	return []slowCrowd{
-		{"half a head", false, pieces(longTarget, 12)},
-		{"short fields, no end", false, pieces(head+strings.Repeat("a:\r\n", 15000), 12)},
-		{"short fields", false, [][]byte{[]byte(head + strings.Repeat("a:\r\n", 15000) + "\r\n")}},
-		{"short fields in pieces", false, pieces(head+strings.Repeat("a:\r\n", 15000)+"\r\n", 12)},
-		{"long fields, half a body", false, pieces(longFields+"Content-Length: 100\r\n\r\nSELECT a", 12)},
-		{"long target, half a body", false, pieces(longTarget+"Content-Length: 100\r\n\r\nSELECT a", 12)},
-		{"half a body", false, pieces(head+"Content-Length: 140000\r\n\r\n"+body, 12)},
-		{"half a chunked body", false, pieces(head+"Transfer-Encoding: chunked\r\n\r\n22000\r\n"+body, 12)},
-		{"long fields, open query", false, pieces(longFields+"Content-Length: 31\r\n\r\nSELECT a FROM sales_1.t -- slow", 12)},
-		{"long fields at once, half a body", false, [][]byte{[]byte(longFields + "Content-Length: 100\r\n\r\n"), []byte("SELECT a")}},
-		{"long target at once, half a body", false, [][]byte{[]byte(longTarget + "Content-Length: 100\r\n\r\n"), []byte("SELECT a")}},
-		{"long fields at once, open query", false, [][]byte{[]byte(longFields + "Content-Length: 31\r\n\r\nSELECT a FROM sales_1.t -- slow")}},
-		{"long target at once, open query", false, [][]byte{[]byte(longTarget + "Content-Length: 31\r\n\r\nSELECT a FROM sales_1.t -- slow")}},
-		{"half a start-up message", true, pieces(string(binary.BigEndian.AppendUint32(nil, 10000))+strings.Repeat("\x00", 8000), 12)},
-		{"half a query", true, pieces(string(startupMessage)+string(queryHeader(16000))+strings.Repeat("x", 15000), 12)},
-		{"query and half behind it", true, pieces(string(startupMessage)+string(queryHeader(len(openQuery)+idBytes-len(idVerb)))+openQuery+
+		{"half a head", clickHouseFront, pieces(longTarget, 12)},
+		{"short fields, no end", clickHouseFront, pieces(head+strings.Repeat("a:\r\n", 15000), 12)},
+		{"short fields", clickHouseFront, [][]byte{[]byte(head + strings.Repeat("a:\r\n", 15000) + "\r\n")}},
+		{"short fields in pieces", clickHouseFront, pieces(head+strings.Repeat("a:\r\n", 15000)+"\r\n", 12)},
+		{"long fields, half a body", clickHouseFront, pieces(longFields+"Content-Length: 100\r\n\r\nSELECT a", 12)},
+		{"long target, half a body", clickHouseFront, pieces(longTarget+"Content-Length: 100\r\n\r\nSELECT a", 12)},
+		{"half a body", clickHouseFront, pieces(head+"Content-Length: 140000\r\n\r\n"+body, 12)},
+		{"half a chunked body", clickHouseFront, pieces(head+"Transfer-Encoding: chunked\r\n\r\n22000\r\n"+body, 12)},
+		{"long fields, open query", clickHouseFront, pieces(longFields+"Content-Length: 31\r\n\r\nSELECT a FROM sales_1.t -- slow", 12)},
+		{"long fields at once, half a body", clickHouseFront, [][]byte{[]byte(longFields + "Content-Length: 100\r\n\r\n"), []byte("SELECT a")}},
+		{"long target at once, half a body", clickHouseFront, [][]byte{[]byte(longTarget + "Content-Length: 100\r\n\r\n"), []byte("SELECT a")}},
+		{"long fields at once, open query", clickHouseFront, [][]byte{[]byte(longFields + "Content-Length: 31\r\n\r\nSELECT a FROM sales_1.t -- slow")}},
+		{"long target at once, open query", clickHouseFront, [][]byte{[]byte(longTarget + "Content-Length: 31\r\n\r\nSELECT a FROM sales_1.t -- slow")}},
+		{"half a scrape", metricsFront, pieces("GET /metrics HTTP/1.1\r\nHost: x\r\nX-Long: "+strings.Repeat("v", 7000), 12)},
+		{"short fields of a scrape", metricsFront, pieces("GET /metrics HTTP/1.1\r\nHost: x\r\n"+strings.Repeat("a:\r\n", 15000), 12)},
+		{"half a start-up message", postgresFront, pieces(string(binary.BigEndian.AppendUint32(nil, 10000))+strings.Repeat("\x00", 8000), 12)},
+		{"half a query", postgresFront, pieces(string(startupMessage)+string(queryHeader(16000))+strings.Repeat("x", 15000), 12)},
+		{"query and half behind it", postgresFront, pieces(string(startupMessage)+string(queryHeader(len(openQuery)+idBytes-len(idVerb)))+openQuery+
 			string(queryHeader(16000))+strings.Repeat("x", 15000), 12)},
 	}
 }
@@ -91,10 +102,7 @@
 // play connects a crowd and returns the highest memory of the program in MB. While the crowd is connected, a client with a small
 // request must get an answer over each protocol.
 func (p *limitedProgram) play(crowd slowCrowd, count int) (peakMB float64) {
-	addr := p.httpAddr
-	if crowd.pg {
-		addr = p.pgAddr
-	}
+	addr := map[front]string{clickHouseFront: p.httpAddr, postgresFront: p.pgAddr, metricsFront: p.metricsAddr}[crowd.front]
 	var conns []net.Conn
 	defer func() {
 		for _, c := range conns {
@@ -175,7 +183,7 @@
 func TestManySlowSessionsExceedProcessMemory(t *testing.T) {
 	const sessions = 2300
 	for _, crowd := range slowCrowds() {
-		if !crowd.pg {
+		if crowd.front != postgresFront {
 			continue
 		}
 		t.Run(crowd.name, func(t *testing.T) {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -10,6 +10,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"golang.org/x/net/netutil"
 
 	"thymeway/internal/accounting"
 	"thymeway/internal/clock"
@@ -36,6 +37,7 @@
 const (
 	snapshotTimeout      = 2 * time.Second // within which the event loop has to deliver a snapshot
 	maxConcurrentScrapes = 2               // further scrapes are rejected
+	maxConnections       = 16              // further connections wait, as each takes memory for its headers
 )
 
 // collector is a prometheus.Collector that takes a new snapshot for each scrape.
@@ -154,6 +156,6 @@
 		promhttp.HandlerOpts{MaxRequestsInFlight: maxConcurrentScrapes, Timeout: 2 * snapshotTimeout}))
 	s := &http.Server{Handler: mux, ReadHeaderTimeout: snapshotTimeout, ReadTimeout: snapshotTimeout,
 		WriteTimeout: 3 * snapshotTimeout, IdleTimeout: 2 * snapshotTimeout, MaxHeaderBytes: 8 << 10}
-	go func() { _ = s.Serve(l) }()
+	go func() { _ = s.Serve(netutil.LimitListener(l, maxConnections)) }()
 	return s
 }
