Limit the number of table groups that the scheduler remembers

Cause: a table group is remembered for a minute, whatever their number, and its name comes from the client. Each check looked at all.

Change: 1,024 that were requested once and 4,096 that were requested again are remembered, in order of their last request; new names displace only those that were requested once.

--- a/choice/hold.go
+++ b/choice/hold.go
@@ -205,7 +205,7 @@
 // homeEngines returns the engines that rank first for a query's table group by rendezvous hashing. Their
 // number grows with the group's share of the traffic.
 func (s *Scheduler) homeEngines(q *request) []*engine {
-	g := s.tableGroupFor(q.TableGroup)
+	g := s.tableGroups.get(q.TableGroup, s.now)
 	if g.listVersion != s.listVersion {
 		g.listVersion, g.engines = s.listVersion, rankByHash(q.TableGroup, s.preferred)
 	}
--- a/choice/lifecycle_test.go
+++ b/choice/lifecycle_test.go
@@ -152,9 +152,9 @@
 	for i := 0; i < 3; i++ {
 		h.step(40000, Timer{"check"})
 	}
-	if scheduler := h.scheduler; len(scheduler.orderKeys)+len(scheduler.tableGroups)+len(scheduler.requests) > 0 ||
+	if scheduler := h.scheduler; len(scheduler.orderKeys)+len(scheduler.tableGroups.byName)+len(scheduler.requests) > 0 ||
 		len(scheduler.engines) != 1 || len(scheduler.engines[0].tableGroupSentAt) > 0 {
 		t.Errorf("still kept: %d keys, %d table groups, %d requests, %d engines",
-			len(scheduler.orderKeys), len(scheduler.tableGroups), len(scheduler.requests), len(scheduler.engines))
+			len(scheduler.orderKeys), len(scheduler.tableGroups.byName), len(scheduler.requests), len(scheduler.engines))
 	}
 }
--- a/choice/loads_test.go
+++ b/choice/loads_test.go
@@ -133,7 +133,7 @@
 		}
 	}
 	withLoads := h.scheduler.predictLatency(home, q, false)
-	h.scheduler.tableGroupFor("7").loads = 0
+	h.scheduler.tableGroups.get("7", h.scheduler.now).loads = 0
 	if without := h.scheduler.predictLatency(home, q, false); withLoads < without+h.scheduler.expectedLockWait()/4 {
 		t.Errorf("predicted %.0f ms with frequent loads, %.0f ms without: want a longer wait", withLoads, without)
 	}
--- a/choice/predict.go
+++ b/choice/predict.go
@@ -133,7 +133,7 @@
 // lockedTimeShare returns the share of time for which loads hold a table group on one of its home engines, if
 // each peer gets as many loads as this coordinator.
 func (s *Scheduler) lockedTimeShare(q *request) float64 {
-	g := s.tableGroupFor(q.TableGroup)
+	g := s.tableGroups.get(q.TableGroup, s.now)
 	loadRate := g.loads * math.Exp((g.updatedAt-s.now)/warmPeriodMs) / warmPeriodMs * s.coordinators
 	return math.Min(loadRate*s.expectedLockWait()/lockWaitShare/float64(len(s.homeEngines(q))), 1)
 }
--- a/choice/scale_test.go
+++ b/choice/scale_test.go
@@ -426,7 +426,7 @@
 			h.step(1, Outcome{Request: id, Result: OK, Duration: 50, RequestEnded: true})
 		}
 	}
-	if e, g := len(h.scheduler.engines), len(h.scheduler.tableGroups); e > 100 || g > 150 || len(h.scheduler.engineByID) != e {
+	if e, g := len(h.scheduler.engines), len(h.scheduler.tableGroups.byName); e > 100 || g > 150 || len(h.scheduler.engineByID) != e {
 		t.Fatalf("%d engines, %d by ID, %d table groups kept", e, len(h.scheduler.engineByID), g)
 	}
 }
--- a/choice/state.go
+++ b/choice/state.go
@@ -43,7 +43,7 @@
 	manyPeers                                bool                   // there are more than manyCoordinators coordinators
 	threadsByPriority, meanThreadsByPriority [priorityCount]float64 // threadsInFlight by priority, and its mean over time
 	meanThreadsAt                            float64
-	tableGroups                              map[string]*tableGroup
+	tableGroups                              tableGroups
 	tableGroupRequests                       decayingSum // over all table groups
 	listVersion                              int         // counts the updates of the engine list
 	listedEngines, ring                      []*engine   // listed engines, as in engines, and by idHash
@@ -222,11 +222,7 @@
 			delete(s.orderKeys, name)
 		}
 	}
-	for name, g := range s.tableGroups {
-		if g.updatedAt < s.now-2*warmPeriodMs {
-			delete(s.tableGroups, name)
-		}
-	}
+	s.tableGroups.dropBefore(s.now - 2*warmPeriodMs)
 }
 
 // dropBefore drops the values added up to a time. It copies the rest only if many values can be dropped, so that its cost
@@ -244,7 +240,7 @@
 		rng:          rand.New(rand.NewSource(settings.Seed)),
 		engineByID:   map[string]*engine{}, requests: map[string]*request{}, classes: map[string]*class{},
 		tenants: map[string]*tenant{}, orderKeys: map[string]*orderKey{}, meanWarmFactor: 1, meanColdFactor: 1, budgetGrowth: 1,
-		meanThreadsAt: now, tableGroups: map[string]*tableGroup{}, meanReportedAt: math.Inf(-1),
+		meanThreadsAt: now, meanReportedAt: math.Inf(-1),
 		nextSweepAt: now, nextWakeAt: math.Inf(1)}
 	s.manyPeers = s.coordinators > manyCoordinators
 	s.setTimeScale()
@@ -466,33 +462,9 @@
 }
 
 // tableGroup holds the decaying counts of a table group's requests, and the engines in their order of preference for it
-// as of listVersion.
-type tableGroup struct {
-	requests, updatedAt float64
-	loads               float64 // part of requests that are loads
-	listVersion         int
-	engines             []*engine
-}
-
-// tableGroupFor returns the table group with a name, and adds it if it is new.
-func (s *Scheduler) tableGroupFor(tables string) *tableGroup {
-	g := s.tableGroups[tables]
-	if g == nil {
-		g = &tableGroup{updatedAt: s.now}
-		s.tableGroups[tables] = g
-	}
-	return g
-}
-
 // countRequest counts a request for its table group.
 func (s *Scheduler) countRequest(tables string, isLoad bool) {
-	g := s.tableGroupFor(tables)
-	decay := math.Exp((g.updatedAt - s.now) / warmPeriodMs)
-	g.requests, g.loads = g.requests*decay+1, g.loads*decay
-	if isLoad {
-		g.loads++
-	}
-	g.updatedAt = s.now
+	s.tableGroups.count(tables, isLoad, s.now, warmPeriodMs)
 	s.tableGroupRequests.add(s.now, 1, warmPeriodMs)
 }
 
--- a/cmd/thymeway/memory_test.go
+++ b/cmd/thymeway/memory_test.go
@@ -40,6 +40,7 @@
 	pgAddr, httpAddr string
 	metricsAddr      string
 	log              *strings.Builder
+	requests         int // sent by otherClients
 }
 
 // startLimited starts the program with a memory limit in MB and waits until it serves clients of both protocols. script returns how
