Do not send attempts whose request has ended while they waited for a connection

A request refused at a shutdown could be sent to an engine afterwards.

Cause: an attempt that waits for a connection was taken back by a cancel only.

Change: Attempt.Expired, which both kinds of engines ask as they write a query, is true once the request is answered or its client has gone.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -29,6 +29,7 @@
 	ClickHouse     *ClickHouse // further data of a request received over ClickHouse's HTTP interface; otherwise nil
 	clientEstimate float64     // estimate of its work that the client sent, in CPU ms; 0: none
 	unproven       bool        // the statement is not proven safe to repeat, although its class promises that
+	ended          bool        // it is answered, or its client has gone
 }
 
 // ClickHouse holds the parts of a request received over ClickHouse's HTTP interface. The Statement of the Request is the
@@ -75,9 +76,10 @@
 	NotAfter float64 // time after which it must not be sent any more; 0: only WaitUntil applies
 }
 
-// Expired reports whether the attempt must not be sent any more.
+// Expired reports whether the attempt must not be sent any more: its time is over, or nobody waits for its result. An attempt that
+// waits for a connection may come to that without being cancelled, where the settings allow no cancelling.
 func (a *Attempt) Expired(now float64) bool {
-	return a.WaitUntil-now < 1 || a.NotAfter > 0 && now > a.NotAfter
+	return a.ended || a.WaitUntil-now < 1 || a.NotAfter > 0 && now > a.NotAfter
 }
 
 // Outcome describes the end of an attempt or a probe.
@@ -299,7 +301,7 @@
 // with work, which is the work reported with the result, or 0 to use the estimate.
 func (c *Coordinator) finish(open *openRequest, ending accounting.Ending, work float64) {
 	if !open.answered {
-		open.answered = true
+		open.answered, open.ended = true, true
 		c.unanswered--
 		class := c.classes[open.Class]
 		if work <= 0 {
