Answer requests that come again under the id of one that may have run with an error

Cause: an id was known only while its request was open, and a query_id was free as soon as its client had left, while its query went on.

A query_id may be used again once its query is answered. Event request-repeated.

--- a/cmd/thymeway/memory_test.go
+++ b/cmd/thymeway/memory_test.go
@@ -39,6 +39,7 @@
 	memoryMB         float64
 	pgAddr, httpAddr string
 	metricsAddr      string
+	groups           []*standin.WorkerGroup
 	log              *strings.Builder
 	requests         int // sent by otherClients
 }
@@ -47,15 +48,16 @@
 // queries end; replaced holds further texts of the example configuration and their replacements in turn.
 func startLimited(t *testing.T, memoryMB float64, script func(standin.Query) standin.Answer, replaced ...string) *limitedProgram {
 	t.Helper()
-	var groups []string
+	var listed []string
+	var groups []*standin.WorkerGroup
 	for i := range 6 {
-		_, addr := startGroup(t, script)
-		groups = append(groups, listedGroup(fmt.Sprint("s-", i), addr))
+		group, addr := startGroup(t, script)
+		listed, groups = append(listed, listedGroup(fmt.Sprint("s-", i), addr)), append(groups, group)
 	}
 	dir := t.TempDir()
-	p := &limitedProgram{t: t, memoryMB: memoryMB, pgAddr: freeAddr(t), httpAddr: freeAddr(t), metricsAddr: freeAddr(t)}
+	p := &limitedProgram{t: t, memoryMB: memoryMB, pgAddr: freeAddr(t), httpAddr: freeAddr(t), metricsAddr: freeAddr(t), groups: groups}
 	file, localFile := filepath.Join(dir, "config.json"), filepath.Join(dir, "thymeway.ini")
-	writeConfig(t, file, groups, append(replaced, "127.0.0.1:5499", p.pgAddr, "127.0.0.1:8599", freeAddr(t),
+	writeConfig(t, file, listed, append(replaced, "127.0.0.1:5499", p.pgAddr, "127.0.0.1:8599", freeAddr(t),
 		`"memory_mb": 192`, fmt.Sprintf(`"memory_mb": %.0f`, memoryMB))...)
 	if err := os.WriteFile(localFile, []byte("[clickhouse]\nlisten = "+p.httpAddr+"\n[metrics]\nlisten = "+p.metricsAddr+"\n"), 0o600); err != nil {
 		t.Fatal(err)
--- a/internal/chhttp/request.go
+++ b/internal/chhttp/request.go
@@ -283,9 +283,10 @@
 		}
 		text = request.Statement
 	} else {
-		request.ID = fmt.Sprintf("%016x", srv.Random.Uint64())
+		request.ID, request.IDGenerated = fmt.Sprintf("%016x", srv.Random.Uint64()), true
 	}
 	q.Request = request
+	request.QueryID = q.id
 	if request.Tenant == "" {
 		request.Tenant = tenant
 	}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -21,6 +21,8 @@
 	choice.Request
 	IdempotencyKey string // sent by the client, or generated from the request's id
 	KeyGenerated   bool   // the IdempotencyKey is generated: the client has not asked for repeats to be discarded
+	IDGenerated    bool   // the ID is generated: the client has given none
+	QueryID        string // query_id that a ClickHouse client has given its query; "": none
 	Statement      string
 	Protocol       string // protocol over which it arrived; requests are counted by it
 	Dialect        shape.Dialect
@@ -121,6 +123,9 @@
 	sends       int // attempts sent
 	inFlight    int // attempts that have not ended
 	answered    bool
+	clientLeft  bool      // the client has gone without an answer
+	ran         bool      // an attempt was served, or has ended without proof that it never ran
+	ids         clientIDs // with which it must not come again
 
 	sentAt           float64             // when the latest attempt was sent
 	lastEnd          transport.EndReason // of the attempt that ended last
@@ -137,6 +142,7 @@
 	backend         Backend
 	wake            func() // requests a call of Turn
 	requests        map[string]*openRequest
+	repeatedIDs     repeatedIDs
 	pendingEvents   []choice.Event
 	unanswered      int                     // requests without an answer
 	classes         map[string]choice.Class // by name
@@ -255,11 +261,17 @@
 func (c *Coordinator) Submit(r *Request) {
 	if c.requests[r.ID] != nil {
 		// Neither the scheduler nor a worker group can tell two requests with the same id apart.
-		r.Client.Fail("a request with this id is still open")
+		r.Client.Fail(errIDOpen.Error())
 		return
 	}
 	c.prepare(r)
-	open := &openRequest{Request: r, acceptedAt: c.now(), failMessage: "no worker group could finish it",
+	ids := c.clientIDsOf(r)
+	if err := c.repeatedIDs.admit(ids, c.now()); err != nil {
+		c.statements.Faults.Add("request-repeated", "protocol", r.Protocol, "id", r.ID, "query_id", r.QueryID, "error", err)
+		r.Client.Fail(err.Error())
+		return
+	}
+	open := &openRequest{Request: r, ids: ids, acceptedAt: c.now(), failMessage: "no worker group could finish it",
 		counts: c.Accounts.CountsFor(c.accountKey(r))}
 	open.counts.Accepted++
 	c.storms.requestArrived(r, open.acceptedAt)
@@ -293,6 +305,7 @@
 		return
 	}
 	logs.Trace("dropped", r.ID)
+	open.clientLeft = true
 	c.finish(open, accounting.Dropped, 0)
 	c.enqueue(choice.ClientGone{Request: r.ID})
 }
@@ -317,8 +330,9 @@
 
 // removeIfDone removes a request that is answered and has no attempt in flight.
 func (c *Coordinator) removeIfDone(open *openRequest) {
-	if open.answered && open.inFlight == 0 {
+	if open.answered && open.inFlight == 0 && c.requests[open.ID] == open {
 		delete(c.requests, open.ID)
+		c.repeatedIDs.close(open.ids, open.ran, open.clientLeft, c.now())
 	}
 }
 
--- a/internal/coordinator/retry_log.go
+++ b/internal/coordinator/retry_log.go
@@ -11,6 +11,7 @@
 // recordEnd records the end of an attempt: the reason of the latest end, and whether any attempt may have run.
 func (r *openRequest) recordEnd(end transport.EndReason) {
 	r.lastEnd = end
+	r.ran = r.ran || end == transport.Served || end.Result().MayHaveRun()
 	if end.Result().MayHaveRun() && !r.mayHaveRun {
 		r.mayHaveRun, r.mayHaveRunSentAt = true, r.sentAt
 	}
