Draw ids and keys of each process anew

Worker groups drop repeats of a key and give an id's answer again.

Cause: ids, keys and the secrets of sessions followed from the configuration's seed alone. The platform gives a new one at each start, a supervisor that starts the program with the file at hand does not.

Change: each process draws a seed for them. The scheduler still follows the configuration's seed.

--- a/cmd/thymeway/main.go
+++ b/cmd/thymeway/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/signal"
@@ -86,6 +87,7 @@
 			return 1
 		}
 		slog.SetDefault(logs.New(os.Stderr, c.Local.LogLevel))
+		c.ProcessSeed = [2]uint64{rand.Uint64(), rand.Uint64()}
 		if err := serve(c, read, signals); err != nil {
 			slog.Error("stopped", "error", err)
 			return 1
--- a/cmd/thymeway/memory_test.go
+++ b/cmd/thymeway/memory_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -35,6 +36,7 @@
 // limitedProgram is the program as a process of its own with a limit on its memory, and six worker groups.
 type limitedProgram struct {
 	t                *testing.T
+	process          *exec.Cmd
 	pid              int
 	memoryMB         float64
 	pgAddr, httpAddr string
@@ -64,8 +66,16 @@
 	}
 	t.Setenv("EDGE_CONFIG", file)
 	t.Setenv("THYMEWAY_INI", localFile)
+	p.start()
+	return p
+}
+
+// start starts the program and waits until it serves clients of both protocols.
+func (p *limitedProgram) start() {
+	t := p.t
+	t.Helper()
 	program, log := startProgram(t)
-	p.pid, p.log = program.Process.Pid, log
+	p.process, p.pid, p.log = program, program.Process.Pid, log
 	t.Cleanup(func() {
 		_ = program.Process.Kill()
 		_ = program.Wait()
@@ -77,7 +87,7 @@
 	for end := time.Now().Add(30 * time.Second); ; time.Sleep(10 * time.Millisecond) {
 		if r, err := client.Get("http://" + p.httpAddr + "/ping"); err == nil {
 			_ = r.Body.Close()
-			return p
+			return
 		}
 		if time.Now().After(end) {
 			t.Fatal("the program does not start")
@@ -85,6 +95,14 @@
 	}
 }
 
+// restart kills the program and starts it again under its addresses, with the same configuration.
+func (p *limitedProgram) restart() {
+	p.t.Helper()
+	_ = p.process.Process.Kill()
+	_ = p.process.Wait()
+	p.start()
+}
+
 // packedInsert returns an INSERT of some 900 KB, packed by gzip.
 func packedInsert(t *testing.T) []byte {
 	var packed bytes.Buffer
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -21,6 +21,7 @@
 	Name          string
 	Listen        string
 	Seed          uint64
+	ProcessSeed   [2]uint64 // drawn anew by each process, for ids; zero: ids follow from Seed
 	Cores         float64
 	MemoryMB      float64
 	Sockets       int             // descriptors that the program may use
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,7 +5,6 @@
 import (
 	"log/slog"
 	"maps"
-	"math/rand"
 	"slices"
 
 	"thymeway/internal/chengine"
@@ -113,12 +112,12 @@
 			ConnLimiter:   clientSlots,
 			MaxInputBytes: min(max(int(cfg.MemoryMB*(1<<20)*inputMemoryShare)/maxClients, minInputBytes), maxInputBytes),
 			MaxHeldBytes:  int(cfg.MemoryMB * (1 << 20) * inputMemoryShare),
-			Random:        rand.New(rand.NewSource(int64(cfg.Seed) + 1))},
+			Random:        newRandom(cfg, postgresStream)},
 		Discovery: &discovery.Watcher{Dialer: dialer, Deadlines: deadlines, Now: now, Listener: coord, Addr: cfg.DiscoveryAddr,
 			ConnectTimeout: 2 * cfg.ConnectTimeout, WarmUpTime: cfg.Scheduler.WarmUpTime}}
 	if cfg.Local.ClickHouse.Listen != "" {
 		n.ClickHouse = &chhttp.Server{Coordinator: coord, Deadlines: deadlines, Faults: faults, Now: now, AnswerMargin: answerMargin,
-			ConnLimiter: clientSlots, Random: rand.New(rand.NewSource(int64(cfg.Seed) + 2)), Config: cfg,
+			ConnLimiter: clientSlots, Random: newRandom(cfg, clickHouseStream), Config: cfg,
 			MaxHeldBytes: int(cfg.MemoryMB * (1 << 20) * bodyMemoryShare)}
 		n.ClickHouse.Start()
 	}
--- a/internal/standin/workergroup.go
+++ b/internal/standin/workergroup.go
@@ -36,6 +36,7 @@
 	queries []Query
 	runs    map[string]*run // latest runs, by query ID
 	server  *http.Server
+	addr    string
 }
 
 // run is the execution of a query.
@@ -69,9 +70,13 @@
 	mux.HandleFunc("DELETE /obj/{id}", w.delete)
 	w.server = &http.Server{Handler: mux}
 	go func() { _ = w.server.Serve(l) }()
-	return l.Addr().String(), nil
+	w.addr = l.Addr().String()
+	return w.addr, nil
 }
 
+// Addr returns the address that Start has returned.
+func (w *WorkerGroup) Addr() string { return w.addr }
+
 // Stop closes the listener and all connections.
 func (w *WorkerGroup) Stop() { _ = w.server.Close() }
 
