Shift the wall clock of test processes on arm64 too, and fail where nothing shifts

Seen: six clock tests failed on arm64, as the library of internal/wallclock did not compile there.

Cause: it wrote instructions of x86-64. Nothing told whether a process had loaded it, so on a static program the tests would have passed by chance.

Change: the names of the vDSO's functions, the system call and the jump are chosen by the kind of machine, the instruction cache is cleared, and the library ends the process if it finds no clock_gettime. CheckLoaded, asked by each test, and TestWallClockOfProcessMoves prove the shift.

--- a/cmd/thymeway/clock_test.go
+++ b/cmd/thymeway/clock_test.go
@@ -66,6 +66,9 @@
 	}
 	t.Cleanup(process.stop)
 	process.waitFor("a watch of discovery", process.discovery.HasWatcher)
+	if err := clock.CheckLoaded(process.cmd.Process.Pid); err != nil {
+		t.Fatal(err)
+	}
 	return process
 }
 
--- a/internal/wallclock/shim/wallclock.c
+++ b/internal/wallclock/shim/wallclock.c
@@ -13,12 +13,15 @@
 #include <time.h>
 #include <unistd.h>
 
-#ifndef __x86_64__
-#error "the shim writes x86-64 instructions"
-#endif
-
 static volatile int64_t *offset_ns; // the mapped control file
 
+// What differs between the kinds of machine: the names of the vDSO's functions, the system call and the jump.
+#if defined(__x86_64__)
+
+#define CLOCK_GETTIME_NAME "__vdso_clock_gettime"
+#define GETTIMEOFDAY_NAME "__vdso_gettimeofday"
+#define TIME_NAME "__vdso_time"
+
 // real_clock_gettime reads a clock with the system call, which the patches below do not affect.
 static long real_clock_gettime(long id, struct timespec *ts) {
 	long result;
@@ -26,6 +29,44 @@
 	return result;
 }
 
+// write_jump overwrites the beginning of a function with "mov rax, target; jmp rax".
+static void write_jump(unsigned char *at, void *target) {
+	uint64_t address = (uint64_t)target;
+	at[0] = 0x48;
+	at[1] = 0xb8;
+	memcpy(at + 2, &address, 8);
+	at[10] = 0xff;
+	at[11] = 0xe0;
+}
+
+#elif defined(__aarch64__)
+
+#define CLOCK_GETTIME_NAME "__kernel_clock_gettime"
+#define GETTIMEOFDAY_NAME "__kernel_gettimeofday"
+#define TIME_NAME "" // the vDSO of arm64 has no such function
+
+// real_clock_gettime reads a clock with the system call, which the patches below do not affect.
+static long real_clock_gettime(long id, struct timespec *ts) {
+	register long number __asm__("x8") = SYS_clock_gettime;
+	register long result __asm__("x0") = id;
+	register struct timespec *second __asm__("x1") = ts;
+	__asm__ volatile("svc 0" : "+r"(result) : "r"(number), "r"(second) : "memory", "cc");
+	return result;
+}
+
+// write_jump overwrites the beginning of a function with "ldr x16, #8; br x16" and the target's address behind it.
+static void write_jump(unsigned char *at, void *target) {
+	static const uint32_t instructions[] = {0x58000050, 0xd61f0200};
+	uint64_t address = (uint64_t)target;
+	memcpy(at, instructions, sizeof instructions);
+	memcpy(at + sizeof instructions, &address, sizeof address);
+	__builtin___clear_cache((char *)at, (char *)at + sizeof instructions + sizeof address);
+}
+
+#else
+#error "the shim writes instructions of x86-64 and arm64"
+#endif
+
 // shifted_clock_gettime replaces clock_gettime.
 static int shifted_clock_gettime(clockid_t id, struct timespec *ts) {
 	long result = real_clock_gettime(id, ts);
@@ -62,25 +103,18 @@
 	_exit(97);
 }
 
-// write_jump overwrites the beginning of a function with "mov rax, target; jmp rax".
-static void write_jump(unsigned char *at, void *target) {
-	uint64_t address = (uint64_t)target;
-	at[0] = 0x48;
-	at[1] = 0xb8;
-	memcpy(at + 2, &address, 8);
-	at[10] = 0xff;
-	at[11] = 0xe0;
-}
-
-// patch redirects the vDSO function of the given name if it reads a clock.
-static void patch(unsigned char *vdso, const char *name, Elf64_Sym *symbol) {
+// patch redirects the vDSO function of the given name if it reads a clock. It returns 1 for clock_gettime, which the program's
+// wall clock depends on, and else 0.
+static int patch(unsigned char *vdso, const char *name, Elf64_Sym *symbol) {
 	static const struct { const char *name; void *target; } functions[] = {
-		{"__vdso_clock_gettime", shifted_clock_gettime},
-		{"__vdso_gettimeofday", shifted_gettimeofday},
-		{"__vdso_time", shifted_time},
+		{CLOCK_GETTIME_NAME, shifted_clock_gettime},
+		{GETTIMEOFDAY_NAME, shifted_gettimeofday},
+		{TIME_NAME, shifted_time},
 	};
+	if (!*name) return 0;
 	for (size_t i = 0; i < sizeof functions / sizeof *functions; i++)
 		if (!strcmp(name, functions[i].name)) write_jump(vdso + symbol->st_value, functions[i].target);
+	return !strcmp(name, CLOCK_GETTIME_NAME);
 }
 
 // start runs when the library is loaded. It maps the control file and patches the clock functions of the vDSO.
@@ -112,6 +146,8 @@
 	if (!symbols || !names || !size) fail("wall clock shim: the vDSO can't be read\n");
 	if (mprotect(vdso, size, PROT_READ | PROT_WRITE | PROT_EXEC)) fail("wall clock shim: the vDSO can't be written\n");
 	// The symbol table ends where the string table begins.
-	for (Elf64_Sym *s = symbols; (const char *)s < names; s++) patch(vdso, names + s->st_name, s);
+	int patched = 0;
+	for (Elf64_Sym *s = symbols; (const char *)s < names; s++) patched += patch(vdso, names + s->st_name, s);
+	if (!patched) fail("wall clock shim: the vDSO has no " CLOCK_GETTIME_NAME "\n");
 	mprotect(vdso, size, PROT_READ | PROT_EXEC);
 }
--- a/internal/wallclock/wallclock.go
+++ b/internal/wallclock/wallclock.go
@@ -1,8 +1,9 @@
 // Package wallclock shifts the wall clock of single processes, for tests. The monotonic clock of such a process and all
-// clocks of other processes are unaffected. It requires a C compiler and x86-64.
+// clocks of other processes are unaffected. It requires a C compiler, and x86-64 or arm64.
 package wallclock
 
 import (
+	"bytes"
 	_ "embed"
 	"encoding/binary"
 	"fmt"
@@ -45,6 +46,19 @@
 	return []string{"LD_PRELOAD=" + c.libraryPath, "WALL_CLOCK_SHIFT=" + c.controlFile.Name()}
 }
 
+// CheckLoaded returns an error if a process runs without the shim, so that shifting has no effect on it: a program that is linked
+// statically ignores LD_PRELOAD.
+func (c *Clock) CheckLoaded(pid int) error {
+	maps, err := os.ReadFile(fmt.Sprintf("/proc/%d/maps", pid))
+	if err != nil {
+		return err
+	}
+	if !bytes.Contains(maps, []byte(c.libraryPath)) {
+		return fmt.Errorf("process %d has not loaded %s", pid, c.libraryPath)
+	}
+	return nil
+}
+
 // Shift sets the offset of the wall clock, with immediate effect. It replaces the previous offset.
 func (c *Clock) Shift(offset time.Duration) error {
 	_, err := c.controlFile.WriteAt(binary.NativeEndian.AppendUint64(nil, uint64(offset)), 0)
