--- a/internal/chengine/overdue_test.go
+++ b/internal/chengine/overdue_test.go
@@ -22,6 +22,7 @@
 func (silentConn) Close()       {}
 func (silentConn) CloseWrite()  {}
 func (silentConn) Abort()       {}
+func (c silentConn) Finish()    { c.Close() }
 func (silentConn) Pending() int { return 0 }
 func (silentConn) Idle() bool   { return true }
 
--- a/internal/chhttp/response.go
+++ b/internal/chhttp/response.go
@@ -41,7 +41,7 @@
 	s.headSent, s.headOnly = false, false
 	s.conn.Write(b)
 	if s.closeAfterResponse {
-		s.close()
+		s.finish()
 	} else if s.conn.Pending() > maxUnreadBytes+len(b) {
 		s.server.Faults.Add("client-deaf", "protocol", "clickhouse")
 		s.close()
--- a/internal/chhttp/server.go
+++ b/internal/chhttp/server.go
@@ -85,6 +85,7 @@
 	slot               *connlimit.Slot
 	excess             bool // the connection exceeds the connection limit, so its queries are refused
 	closed             bool
+	finishing          bool        // the session has ended, and its connection ends once its last answer is sent
 	processing         bool        // processInput is running
 	paused             bool        // no request is handled until resumeTimer fires
 	faultsInARow       int         // consecutive refused requests
@@ -116,7 +117,7 @@
 		s.paused = false
 		s.processInput()
 	}
-	s.idleTimer.Do = s.close
+	s.idleTimer.Do = s.finish
 	return s
 }
 
@@ -133,8 +134,8 @@
 	s.slot.MarkUnused()
 }
 
-// InputEmpty reports whether the connection is open and all received data has been read. It implements connlimit.Connection.
-func (s *Session) InputEmpty() bool { return s.conn.Idle() }
+// InputEmpty reports whether the connection is open, all received data has been read and all answers have been sent. It implements connlimit.Connection.
+func (s *Session) InputEmpty() bool { return s.conn.Idle() && s.conn.Pending() == 0 }
 
 // Evict closes the connection in favor of another one.
 func (s *Session) Evict() { s.close() }
@@ -433,18 +434,47 @@
 	s.cleanUp()
 }
 
-// Closed is called when the client has closed the connection or the connection has failed. An open query is dropped.
+// finish ends the session, and its connection once all answers are sent. Until then the connection keeps its slot. Closing it at once
+// would cut off an answer that the client has not read yet.
+func (s *Session) finish() {
+	if s.closed {
+		return
+	}
+	if s.InputEmpty() {
+		s.close()
+		return
+	}
+	s.finishing = true
+	s.slot.MarkBusy()
+	s.endSession()
+	s.conn.Finish()
+}
+
+// Closed is called when the client has closed the connection, the connection has failed, or it is finished. An open query is dropped.
 func (s *Session) Closed(transport.EndReason) {
-	if !s.closed {
+	switch {
+	case s.finishing:
+		s.releaseConnection()
+	case !s.closed:
 		s.cleanUp()
 	}
 }
 
-// cleanUp ends a session whose connection is closed: it drops the open query and frees all that the session holds.
+// cleanUp ends a session whose connection is closed.
 func (s *Session) cleanUp() {
-	s.closed, s.input, s.receivedBody, s.head = true, nil, nil, nil
+	s.endSession()
+	s.releaseConnection()
+}
+
+// releaseConnection frees what a connection that has ended takes.
+func (s *Session) releaseConnection() {
 	delete(s.server.sessions, s)
 	s.slot.Release()
+}
+
+// endSession drops the open query and frees all that the session holds, except for its connection.
+func (s *Session) endSession() {
+	s.closed, s.input, s.receivedBody, s.head = true, nil, nil, nil
 	for _, e := range []*deadline.Entry{&s.requestTimer, &s.resumeTimer, &s.idleTimer} {
 		s.server.Deadlines.Cancel(e)
 	}
--- a/internal/chhttp/server_test.go
+++ b/internal/chhttp/server_test.go
@@ -24,6 +24,7 @@
 
 func (c *fakeConn) Write(b []byte) { c.output.Write(b) }
 func (c *fakeConn) Close()         { c.closed = true }
+func (c *fakeConn) Finish()        { c.Close() }
 func (s *fakeConn) Pending() int   { return 0 }
 func (s *fakeConn) Idle() bool     { return true }
 func (s *fakeConn) CloseWrite()    {}
--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -12,12 +12,13 @@
 // conn is an accepted or dialed connection. Its descriptor is closed only between two batches of events: a new connection may
 // get the same descriptor number, and would otherwise receive the remaining events of the old one.
 type conn struct {
-	loop     *Loop
-	handler  transport.Handler
-	fd       int
-	pending  []byte // written, but not accepted by the system yet
-	closed   bool   // closed locally or ended; after that the handler gets at most the Closed call that fail has scheduled
-	interest uint32 // events that the poller waits for
+	loop      *Loop
+	handler   transport.Handler
+	fd        int
+	pending   []byte     // written, but not accepted by the system yet
+	closed    bool       // closed locally or ended; after that the handler gets at most the Closed call that fail has scheduled
+	interest  uint32     // events that the poller waits for
+	finishing *finishing // not nil once Finish was called
 }
 
 // setInterest sets the events that the poller waits for.
@@ -50,8 +51,11 @@
 	case err != nil && isRetryable(err):
 	case err != nil:
 		c.fail(err)
+	case n == 0 && c.finishing != nil:
+		c.inputEndedWhileFinishing()
 	case n == 0:
 		c.fail(io.EOF)
+	case c.finishing != nil: // input is discarded
 	default:
 		c.handler.Received(c.loop.buffer[:n])
 		c.loop.RequestTurn()
@@ -102,12 +106,14 @@
 		c.fail(err)
 		return
 	}
-	if len(rest) == 0 {
+	progressed := len(rest) < len(c.pending)
+	if c.pending = rest; len(rest) == 0 {
 		c.pending = nil
 		c.setInterest(readable)
-		return
 	}
-	c.pending = rest
+	if c.finishing != nil && progressed && !c.closed {
+		c.sendProgressed()
+	}
 }
 
 // fail ends the connection after an error or the end of input. The handler's Closed is called in the next turn, as fail may
@@ -117,6 +123,7 @@
 		return
 	}
 	c.closed = true
+	c.stopFinishing()
 	c.loop.deferCall(func() {
 		c.closeDescriptor()
 		c.handler.Closed(connEndReason(err))
@@ -136,6 +143,7 @@
 		return
 	}
 	c.closed = true
+	c.stopFinishing()
 	c.loop.deferCall(func() {
 		_, _ = c.send(c.pending)
 		c.closeDescriptor()
@@ -183,6 +191,8 @@
 // connEndReason maps a read or write error to the reason for the end of an established connection.
 func connEndReason(err error) transport.EndReason {
 	switch {
+	case errors.Is(err, errFinished):
+		return transport.ClosedLocally
 	case errors.Is(err, io.EOF):
 		return transport.PeerClosed
 	case errors.Is(err, unix.ECONNREFUSED):
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -192,6 +192,7 @@
 	}
 	l.runDeferred()
 	for fd := range l.conns {
+		discardInput(fd, l.buffer)
 		_ = unix.Close(fd)
 	}
 	for fd := range l.pendingDials {
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -18,6 +18,7 @@
 
 func (c *fakeConn) Write(b []byte) { c.written = b }
 func (c *fakeConn) Close()         {}
+func (c *fakeConn) Finish()        { c.Close() }
 func (c *fakeConn) Pending() int   { return 0 }
 func (c *fakeConn) Idle() bool     { return true }
 func (c *fakeConn) CloseWrite()    {}
--- a/internal/node/exchanges_test.go
+++ b/internal/node/exchanges_test.go
@@ -109,6 +109,7 @@
 	}
 }
 
+func (c *scriptedConn) Finish()      { c.Close() }
 func (c *scriptedConn) Pending() int { return 0 }
 
 func (c *scriptedConn) Idle() bool { return !c.hasUnread }
--- a/internal/node/mixed_protocols_test.go
+++ b/internal/node/mixed_protocols_test.go
@@ -100,6 +100,7 @@
 }
 
 func (c *workerGroupConn) Close()       { c.closed = true }
+func (c *workerGroupConn) Finish()      { c.Close() }
 func (c *workerGroupConn) Pending() int { return 0 }
 func (c *workerGroupConn) Idle() bool   { return !c.closed }
 func (c *workerGroupConn) CloseWrite()  {}
@@ -172,6 +173,7 @@
 }
 
 func (c *simulatedClient) Close()       {}
+func (c *simulatedClient) Finish()      { c.Close() }
 func (c *simulatedClient) Pending() int { return 0 }
 func (c *simulatedClient) Idle() bool   { return true }
 func (c *simulatedClient) CloseWrite()  {}
--- a/internal/node/order_key_test.go
+++ b/internal/node/order_key_test.go
@@ -104,6 +104,7 @@
 	n.schedule(1, func() { h.Closed(transport.ConnRefused) })
 }
 
+func (c *connStub) Finish()      { c.Close() }
 func (c *connStub) Pending() int { return 0 }
 func (c *connStub) Idle() bool   { return !c.engineClosed && !c.coordinatorClosed }
 
--- a/internal/node/response_length_test.go
+++ b/internal/node/response_length_test.go
@@ -47,6 +47,7 @@
 }
 
 func (c *shortLengthConn) Close()       { c.closed = true }
+func (c *shortLengthConn) Finish()      { c.Close() }
 func (c *shortLengthConn) Pending() int { return 0 }
 func (c *shortLengthConn) Idle() bool   { return !c.closed && !c.ended && len(c.unread) == 0 }
 func (c *shortLengthConn) CloseWrite()  { c.end() }
--- a/internal/pg/session.go
+++ b/internal/pg/session.go
@@ -40,7 +40,7 @@
 	faultDelay         = 50.0    // after each further invalid query; immediate repeats would occupy the event loop
 	maxFaults          = 64      // invalid queries in a row after which the session is closed
 	maxMessagesPerTurn = 32      // messages of a session handled in one event-loop turn
-	maxUnreadBytes     = 1 << 20 // bytes of answers that a client may leave unread
+	maxUnreadBytes     = 1 << 20 // bytes of answers that a client may leave unread, beside its latest result
 	maxMarginShare     = 0.1     // share of a client's time limit that the answer margin may take
 )
 
@@ -83,6 +83,8 @@
 	input        []byte
 	started      bool
 	closed       bool
+	finishing    bool   // the session has ended, and its connection ends once its last answer is sent
+	answerBytes  int    // of the latest result
 	processing   bool   // processInput is running
 	skipToSync   bool   // an extended query was rejected: messages are ignored up to its Sync
 	overLimit    bool   // the limit of connections is exceeded: queries are rejected
@@ -124,8 +126,8 @@
 	s.slot.MarkUnused()
 }
 
-// InputEmpty implements connlimit.Connection: it reports whether the connection is open and has no unread input.
-func (s *Session) InputEmpty() bool { return s.conn.Idle() }
+// InputEmpty implements connlimit.Connection: it reports whether the connection is open, has no unread input and all is sent.
+func (s *Session) InputEmpty() bool { return s.conn.Idle() && s.conn.Pending() == 0 }
 
 // Evict implements connlimit.Connection: it closes the session in favor of a new connection.
 func (s *Session) Evict() { s.close() }
@@ -188,7 +190,7 @@
 	case len(s.input) > srv.MaxInputBytes+5: // a client that keeps sending while a query is open would exhaust the memory
 		s.failSession("client-garbled", codeTooLarge, fmt.Sprintf("over %d bytes behind an open query", srv.MaxInputBytes))
 		return
-	case s.conn.Pending() > maxUnreadBytes:
+	case s.conn.Pending() > maxUnreadBytes+s.answerBytes:
 		s.failSession("client-deaf", codeTooLarge, "answers are not read")
 		return
 	case len(s.input) == 0:
@@ -213,7 +215,7 @@
 	s.server.Faults.Add("client-fault", "code", code, "error", text)
 	if s.faultsInRow++; s.faultsInRow > maxFaults {
 		s.sendError("FATAL", code, text)
-		s.close()
+		s.finish()
 		return
 	}
 	s.sendError("ERROR", code, text)
@@ -313,11 +315,11 @@
 		return
 	case s.server.ShuttingDown:
 		s.sendError("FATAL", codeShuttingDown, "the coordinator shuts down")
-		s.close()
+		s.finish()
 		return
 	case s.overLimit: // the query was not sent to any engine, so a retry is harmless
 		s.sendError("FATAL", codeTooManyConns, "too many connections, later=500")
-		s.close()
+		s.finish()
 		return
 	}
 	r.Deadline = s.server.Now() + timeLimit - math.Min(s.server.AnswerMargin, timeLimit*maxMarginShare)
@@ -345,6 +347,7 @@
 	w := messageWriter{buf: make([]byte, 0, 1024)}
 	w.resultSet(set)
 	w.readyForQuery()
+	s.answerBytes = len(w.buf)
 	s.conn.Write(w.buf)
 	s.processInput()
 }
@@ -371,7 +374,7 @@
 func (s *Session) failSession(event, code, text string) {
 	s.server.Faults.Add(event, "code", code, "error", text)
 	s.sendError("FATAL", code, text)
-	s.close()
+	s.finish()
 }
 
 // close closes the connection and ends the session.
@@ -383,24 +386,53 @@
 	s.cleanUp()
 }
 
+// finish ends the session, and its connection once all answers are sent. Until then the connection keeps its slot. Closing it at once
+// would cut off an answer that the client has not read yet.
+func (s *Session) finish() {
+	if s.closed {
+		return
+	}
+	if s.InputEmpty() {
+		s.close()
+		return
+	}
+	s.finishing = true
+	s.slot.MarkBusy()
+	s.endSession()
+	s.conn.Finish()
+}
+
 // Closed implements transport.Handler. As in PostgreSQL, a client that closes its sending side counts as disconnected, because
 // a half-closed connection cannot be distinguished from a closed one.
 func (s *Session) Closed(transport.EndReason) {
-	if !s.closed {
+	switch {
+	case s.finishing:
+		s.releaseConnection()
+	case !s.closed:
 		s.cleanUp()
 	}
 }
 
 // cleanUp releases everything that the session holds and withdraws its open request.
 func (s *Session) cleanUp() {
-	s.closed, s.input = true, nil
-	s.held.Set(0)
+	s.endSession()
+	s.releaseConnection()
+}
+
+// releaseConnection frees what a connection that has ended takes.
+func (s *Session) releaseConnection() {
 	s.slot.Release()
-	s.server.Deadlines.Cancel(&s.messageTimer)
-	s.server.Deadlines.Cancel(&s.resumeTimer)
 	if s.started {
 		delete(s.server.sessions, s.pid)
 	}
+}
+
+// endSession withdraws the open request and frees all that the session holds, except for its connection.
+func (s *Session) endSession() {
+	s.closed, s.input = true, nil
+	s.held.Set(0)
+	s.server.Deadlines.Cancel(&s.messageTimer)
+	s.server.Deadlines.Cancel(&s.resumeTimer)
 	if r := s.request; r != nil {
 		s.clearRequest()
 		s.server.Coordinator.Drop(r)
--- a/internal/pg/session_test.go
+++ b/internal/pg/session_test.go
@@ -15,6 +15,7 @@
 
 func (c *connStub) Write(b []byte) { c.answers += bytes.Count(b, []byte("I\x00\x00\x00\x04")) }
 func (c *connStub) Close()         {}
+func (c *connStub) Finish()        { c.Close() }
 func (c *connStub) Pending() int   { return 0 }
 func (c *connStub) Idle() bool     { return true }
 func (c *connStub) CloseWrite()    {}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -67,6 +67,7 @@
 type Conn interface {
 	Write(b []byte)
 	Close()
+	Finish()      // closes once all that was written is sent; input is discarded, and Handler.Closed follows
 	CloseWrite()  // closes the sending side after what was written; once the other side closes too, it has read everything
 	Abort()       // closes at once, and discards what the system has not sent yet
 	Pending() int // number of written bytes that the system has not accepted yet
--- a/internal/workergroup/end_proof_test.go
+++ b/internal/workergroup/end_proof_test.go
@@ -32,6 +32,7 @@
 func (c *silentConn) Close()       { c.network.open-- }
 func (c *silentConn) CloseWrite()  {}
 func (c *silentConn) Abort()       { c.network.open-- }
+func (c *silentConn) Finish()      { c.Close() }
 func (c *silentConn) Pending() int { return 0 }
 func (c *silentConn) Idle() bool   { return true }
 
