--- a/cmd/thymeway/whole_answer_test.go
+++ b/cmd/thymeway/whole_answer_test.go
@@ -2,16 +2,21 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/jackc/pgx/v5"
+
+	"thymeway/internal/standin"
 )
 
 // Figures of the large answers.
@@ -97,3 +102,72 @@
 		}
 	}
 }
+
+// Guards against a process that is killed for its memory: many clients read large answers slowly, over kept and over fresh connections.
+// Those for which there is no memory are refused, and no answer that has begun is cut off.
+func TestSlowReadersExceedProcessMemory(t *testing.T) {
+	for _, interval := range []time.Duration{0, 50 * time.Millisecond} { // between two clients
+		t.Run(interval.String(), func(t *testing.T) { playSlowReaders(t, interval) })
+	}
+}
+
+// playSlowReaders plays slow clients that come one after the other.
+func playSlowReaders(t *testing.T, interval time.Duration) {
+	const memoryMB, clients, rows = 192, 60, 400000
+	engine := &standin.ClickHouse{}
+	addr, err := engine.Start("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(engine.Stop)
+	p := startLimitedWith(t, memoryMB, []string{listedGroup("ch-1", addr)}, "[kind std-12]\nprotocol = clickhouse\n")
+	var all sync.WaitGroup
+	var served, refused atomic.Int64
+	for i := range clients {
+		all.Go(func() {
+			conn, err := net.Dial("tcp", p.httpAddr)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer conn.Close()
+			_ = conn.(*net.TCPConn).SetReadBuffer(smallReadBuffer)
+			text := fmt.Sprintf("SELECT number FROM numbers(%d)", rows)
+			fmt.Fprintf(conn, "POST /?user=acme&default_format=JSONEachRow HTTP/1.1\r\nHost: x\r\n%sContent-Length: %d\r\n\r\n%s",
+				[]string{"", "Connection: close\r\n"}[i%2], len(text), text)
+			r, err := http.ReadResponse(bufio.NewReader(slowReader{conn}), nil)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			body, err := io.ReadAll(r.Body)
+			switch {
+			case r.StatusCode == 503, r.StatusCode == 500 && r.Header.Get("X-ClickHouse-Exception-Code") == "241":
+				refused.Add(1)
+			case err != nil || r.StatusCode != 200 || bytes.Count(body, []byte{'\n'}) != rows:
+				t.Errorf("status %d, %d bytes, %v", r.StatusCode, len(body), err)
+			default:
+				served.Add(1)
+			}
+		})
+		time.Sleep(interval)
+	}
+	done := make(chan struct{})
+	go func() {
+		all.Wait()
+		close(done)
+	}()
+	peakMB := 0.0
+	for open := true; open; {
+		peakMB = max(peakMB, ownMemoryMB(t, p.pid))
+		select {
+		case <-done:
+			open = false
+		case <-time.After(sampleEvery):
+		}
+	}
+	t.Logf("peak %.0f MB of %d, %d served, %d refused", peakMB, memoryMB, served.Load(), refused.Load())
+	if peakMB > memoryMB || served.Load() == 0 {
+		t.Errorf("peak %.0f MB of %d, %d served", peakMB, memoryMB, served.Load())
+	}
+}
--- a/internal/chhttp/memory.go
+++ b/internal/chhttp/memory.go
@@ -28,6 +28,25 @@
 // any engine, so a retry is harmless.
 var errNoMemory = newException(codeMemoryLimit, "the requests of all clients take what memory there is for them")
 
+// errNoMemoryForAnswer replaces a large answer for which there is no memory, as other clients have not read theirs. Its query has run.
+var errNoMemoryForAnswer = newException(codeMemoryLimit, "the answers that clients have not read take what memory there is for them")
+
+const (
+	smallAnswerBytes = 64 << 10 // an answer up to this size is always sent
+	unsentExcess     = 1.5      // an answer is sent as long as all unsent ones take at most this multiple of MaxUnsentBytes
+)
+
+// acceptsQueries reports whether the answers that clients have not read yet leave memory for further ones.
+func (srv *Server) acceptsQueries() bool {
+	return srv.MaxUnsentBytes == 0 || srv.Pending() <= srv.MaxUnsentBytes
+}
+
+// mayAnswer reports whether an answer of a size may be sent. Queries that run when the limit is reached bring further answers, so the
+// limit is higher than the one for accepting queries.
+func (srv *Server) mayAnswer(size int) bool {
+	return srv.MaxUnsentBytes == 0 || size <= smallAnswerBytes || float64(srv.Pending()+size) <= unsentExcess*float64(srv.MaxUnsentBytes)
+}
+
 // HeldBytes returns the number of bytes that the requests of all sessions hold.
 func (srv *Server) HeldBytes() int { return srv.held.Held() }
 
--- a/internal/chhttp/response.go
+++ b/internal/chhttp/response.go
@@ -110,6 +110,11 @@
 		s.writeException(0, newException(codeNotImplemented, "the result can't be written as %s: %v", q.format, err), nil)
 		return
 	}
+	if !s.server.mayAnswer(len(body)) {
+		s.server.Faults.Add("answer-no-memory", "bytes", len(body), "unsent", s.server.Pending(), "limit", s.server.MaxUnsentBytes)
+		s.writeException(0, errNoMemoryForAnswer, nil)
+		return
+	}
 	s.detachQuery()
 	fields := [][2]string{{"X-ClickHouse-Format", q.format}, {"X-ClickHouse-Summary",
 		fmt.Sprintf(`{"read_rows":"%d","read_bytes":"%d","written_rows":"0","written_bytes":"0","total_rows_to_read":"0","result_rows":"%d","result_bytes":"%d","elapsed_ns":"%.0f"}`,
--- a/internal/chhttp/server.go
+++ b/internal/chhttp/server.go
@@ -45,16 +45,17 @@
 
 // Server holds all sessions of the protocol. Its methods are called from the event loop.
 type Server struct {
-	Coordinator  Coordinator
-	Deadlines    *deadline.Queue
-	Faults       *faultlog.FaultLog
-	Now          func() float64
-	AnswerMargin float64 // ms by which the deadline precedes the client's time limit, for sending the response
-	ConnLimiter  *connlimit.Limiter
-	Random       *rand.Rand
-	Config       config.Config
-	MaxHeldBytes int  // bytes of requests that all sessions together may hold; 0: no limit
-	ShuttingDown bool // new queries are refused
+	Coordinator    Coordinator
+	Deadlines      *deadline.Queue
+	Faults         *faultlog.FaultLog
+	Now            func() float64
+	AnswerMargin   float64 // ms by which the deadline precedes the client's time limit, for sending the response
+	ConnLimiter    *connlimit.Limiter
+	Random         *rand.Rand
+	Config         config.Config
+	MaxHeldBytes   int  // bytes of requests that all sessions together may hold; 0: no limit
+	MaxUnsentBytes int  // bytes of answers to all clients that the system has not accepted, from which queries are refused; 0: no limit
+	ShuttingDown   bool // new queries are refused
 
 	startedAt      float64
 	held           membudget.Budget // bytes of requests that all sessions hold
@@ -380,6 +381,8 @@
 	case s.excess: // the query is not sent to any engine, so a retry is harmless
 		s.closeAfterResponse = true
 		return newException(codeTooManyQueries, "Too many connections")
+	case !srv.acceptsQueries():
+		return errNoMemory
 	case q.id != "" && srv.queries[q.id] != nil:
 		return newException(codeDuplicateQueryID, "Query with id = %s is already running.", q.id)
 	case q.sessionID != "" && srv.sessionLocks[q.user+"\x00"+q.sessionID] != nil:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,6 +33,7 @@
 	reservedDescriptors   = 28        // for the program itself, the discovery service and short-lived connections
 	inputMemoryShare      = 0.1       // of the memory, for input from clients that is not processed yet
 	bodyMemoryShare       = 0.1       // of the memory, for requests of ClickHouse clients; while one is sent, its text is in memory once more
+	unsentMemoryShare     = 0.2       // of the memory, for answers that clients have not read, beyond which queries are refused
 	resultMemoryShare     = 0.15      // of the memory, for results being received from ClickHouse engines
 	minInputBytes         = 16 << 10  // lower bound of the size limit of a client's message
 	maxInputBytes         = 256 << 10 // upper bound of that limit
@@ -118,7 +119,8 @@
 	if cfg.Local.ClickHouse.Listen != "" {
 		n.ClickHouse = &chhttp.Server{Coordinator: coord, Deadlines: deadlines, Faults: faults, Now: now, AnswerMargin: answerMargin,
 			ConnLimiter: clientSlots, Random: newRandom(cfg, clickHouseStream), Config: cfg,
-			MaxHeldBytes: int(cfg.MemoryMB * (1 << 20) * bodyMemoryShare)}
+			MaxHeldBytes:   int(cfg.MemoryMB * (1 << 20) * bodyMemoryShare),
+			MaxUnsentBytes: int(cfg.MemoryMB * (1 << 20) * unsentMemoryShare)}
 		n.ClickHouse.Start()
 	}
 	if n.snapshots = snapshots; snapshots != nil {
