Take no call of a function with unknown effects for a read

A statement behind a comment that ends with a carriage return counted as part of it.

Cause: behind FROM a call counted only if its schema's name ended in a number; in expressions one qualified by its database was not seen; a line comment ended at a line feed only.

Change: checkQualifiedFunction looks at every qualified call, wherever it stands. A carriage return ends a line comment.

Tests of internal pass.

--- a/internal/shape/canonical.go
+++ b/internal/shape/canonical.go
@@ -245,11 +245,11 @@
 			i += n
 		case c == '-' && i+1 < len(s) && s[i+1] == '-',
 			c == '#' && dialect == ClickHouse && i+1 < len(s) && (s[i+1] == ' ' || s[i+1] == '!'):
-			n := strings.IndexByte(s[i:], '\n')
-			if n < 0 {
+			n := lineCommentLength(s[i:])
+			if n == 0 {
 				return NoLexError
 			}
-			i += n + 1
+			i += n
 		case c == '/' && i+1 < len(s) && s[i+1] == '*':
 			n := commentLength(s[i:], dialect == Postgres)
 			if n == 0 {
@@ -581,6 +581,10 @@
 	return 0
 }
 
+// lineCommentLength returns the length of the line comment at the start of s, or 0 if it goes to the end of the text. A carriage return
+// ends it in PostgreSQL and not in ClickHouse; it counts as the end for both, so that no engine runs what was taken for a comment.
+func lineCommentLength(s string) int { return strings.IndexAny(s, "\r\n") + 1 }
+
 // commentLength returns the length of the block comment at the start of s, or 0 if it is not terminated. nests states that
 // comments may contain comments.
 func commentLength(s string, nests bool) int {
--- a/internal/shape/parser.go
+++ b/internal/shape/parser.go
@@ -392,11 +392,11 @@
 	if call && n == 1 && p.dialect == ClickHouse && !localTableFunctions[strings.ToLower(parts[0])] {
 		p.setReason(RemoteTableFunction)
 	}
+	if call && n > 1 {
+		p.checkQualifiedFunction(parts[n-2], parts[n-1])
+	}
 	for _, part := range parts[:n-1] {
 		if group, ok := schemaTableGroup(part); ok {
-			if call {
-				p.setReason(SchemaFunction)
-			}
 			p.addTableGroup(group, s.tableWritten, s)
 			break
 		}
@@ -426,26 +426,35 @@
 	}
 }
 
-// checkDottedName checks a name followed by a dot that is not a table name: a column, an alias or a schema-qualified
-// function.
+// checkDottedName checks a name followed by a dot that is not a table name: a column, an alias or a function qualified by its schema,
+// and that by its database.
 func (p *parseState) checkDottedName(token string) {
 	saved := p.tokens
-	p.tokens.next()
-	part := p.tokens.next()
-	call := p.tokens.peek() == "("
-	p.tokens = saved
-	if !isName(part) {
-		return
+	defer func() { p.tokens = saved }()
+	qualifier, name := "", unquote(token)
+	for p.tokens.peek() == "." {
+		p.tokens.next()
+		part := p.tokens.next()
+		if !isName(part) {
+			return
+		}
+		qualifier, name = name, unquote(part)
+		if group, ok := schemaTableGroup(qualifier); ok && p.otherTableGroup == "" {
+			p.otherTableGroup = group
+		}
 	}
-	qualifier := unquote(token)
-	if group, ok := schemaTableGroup(qualifier); ok && p.otherTableGroup == "" {
-		p.otherTableGroup = group
+	if qualifier != "" && p.tokens.peek() == "(" {
+		p.checkQualifiedFunction(qualifier, name)
 	}
-	if call && qualifier != "pg_catalog" && qualifier != "information_schema" {
+}
+
+// checkQualifiedFunction checks a call of a function in a schema, wherever it stands. Only functions of the engine's own schemas are
+// known; any other may have effects.
+func (p *parseState) checkQualifiedFunction(schema, function string) {
+	switch {
+	case schema != "pg_catalog" && schema != "information_schema":
 		p.setReason(SchemaFunction)
-		return
-	}
-	if call && functionsWithEffects[strings.ToLower(unquote(part))] {
+	case functionsWithEffects[strings.ToLower(function)]:
 		p.addKind(Write)
 		p.setReason(FunctionWithEffects)
 	}
@@ -752,11 +761,11 @@
 		case byteClass[c]&classSpace != 0:
 			raw = raw[1:]
 		case strings.HasPrefix(raw, "--"):
-			i := strings.IndexByte(raw, '\n')
-			if i < 0 {
+			n := lineCommentLength(raw)
+			if n == 0 {
 				return "", false
 			}
-			raw = raw[i+1:]
+			raw = raw[n:]
 		case strings.HasPrefix(raw, "/*"):
 			n := commentLength(raw, true)
 			if n == 0 {
