Use no answer of a ClickHouse engine that names another query

Cause: nothing told answers apart. X-ClickHouse-Query-Id names the query, and was not read.

Change: an answer that names another query than the one sent, or the query of the answer before it on the connection, is unsure: the connection is closed and the query killed, as for other bytes that can't be used.

TestLateCopyIsTakenForResponse fails without the check; tests of internal pass.

--- a/internal/chengine/fleet.go
+++ b/internal/chengine/fleet.go
@@ -173,7 +173,7 @@
 	a.engine.attemptCount++
 	a.waitTimer.Do = a.waitEnded
 	f.Deadlines.Set(&a.waitTimer, a.WaitUntil)
-	a.queryCall = &call{build: a.buildQuery, timeout: a.WaitUntil - f.Now() + responseSlack, maxBodyBytes: f.MaxResultBytes,
+	a.queryCall = &call{build: a.buildQuery, queryID: a.queryID, timeout: a.WaitUntil - f.Now() + responseSlack, maxBodyBytes: f.MaxResultBytes,
 		progress: a.reportProgress, done: a.queryDone}
 	a.engine.start(a.queryCall)
 }
--- a/internal/chengine/pool.go
+++ b/internal/chengine/pool.go
@@ -21,6 +21,7 @@
 // call is one HTTP call to an engine. done is called once, unless the call is abandoned.
 type call struct {
 	build        func() []byte      // returns the request when the call is about to be written; nil withdraws the call
+	queryID      string             // sent as query_id; a response that names another one is not to this call; "": none
 	timeout      float64            // ms from when the call is written until the response must be complete
 	maxBodyBytes int                // limit for the body of the response
 	progress     func(value string) // receives progress headers as they arrive; may be nil
@@ -64,6 +65,7 @@
 	unconfirmed      *response       // complete by its length, while there is unread input that may show that its length is wrong
 	buffered         membudget.Share // bytes of receivedBody
 	interimResponses int             // responses with status 1xx before the final one
+	lastQueryID      string          // that the latest response on the connection named
 	closed           bool
 	timer            deadline.Entry // closes an idle connection
 }
@@ -292,9 +294,26 @@
 	if len(cn.input) > 0 && !r.RepeatedBy(r.body, cn.input) {
 		return nil, errTrailingBytes
 	}
-	return r, nil
+	return r, cn.checkQueryID(r.Get("x-clickhouse-query-id"))
+}
+
+// checkQueryID returns an error if a response is known to be to another query than the call's. Control queries are sent without an id
+// and get one from the engine, so theirs is only compared with that of the response before.
+func (cn *conn) checkQueryID(id string) error {
+	if id == "" {
+		return nil
+	}
+	if expected := cn.call.queryID; expected != "" && id != expected || id == cn.lastQueryID {
+		return errOtherQuery
+	}
+	cn.lastQueryID = id
+	return nil
 }
 
+// errOtherQuery is returned for a response that names another query than the call's: a second copy of an earlier response, which has
+// arrived late.
+var errOtherQuery = errors.New("a response to another query")
+
 // parseResponse returns the response that is complete in the input, or nil.
 func (cn *conn) parseResponse() (*response, error) {
 	for cn.head == nil {
