Wait longer for the first line of a discovery service that is slow

Cause: 1.7 s without a line end a connection, the first line included, and each next one alike.

Change: the time for the first line doubles with each connection without one, from 1.7 to 5.1 s, and goes back once one comes early.

--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -20,10 +20,11 @@
 
 // Timeouts and limits.
 const (
-	silenceTimeout    = 1700.0 // ms without a line before the connection counts as broken; the service sends one every second
-	minReconnectDelay = 50.0   // ms before the first attempt to reconnect; doubled with each failure
-	maxReconnectDelay = 1000.0 // ms
-	maxLineBytes      = 1 << 20
+	silenceTimeout      = 1700.0 // ms without a line before the connection counts as broken; the service sends one every second
+	maxFirstLineTimeout = 5100.0 // ms to wait for the first line of a slow service; doubled from silenceTimeout with each failure
+	minReconnectDelay   = 50.0   // ms before the first attempt to reconnect; doubled with each failure
+	maxReconnectDelay   = 1000.0 // ms
+	maxLineBytes        = 1 << 20
 )
 
 // event is a line of the protocol in JSON. Without Pool it only carries the latest revision.
@@ -100,18 +101,21 @@
 	ConnectTimeout float64 // ms within which a connection has to be established
 	WarmUpTime     float64 // ms that a worker group takes to warm up
 
-	revision       int64 // of the latest event applied
-	startTimes     starttime.Estimator
-	reconnectDelay float64
-	current        *connection    // nil while waiting to reconnect
-	timer          deadline.Entry // timeout of the current connection, or the delay before the next one
+	revision         int64 // of the latest event applied
+	startTimes       starttime.Estimator
+	reconnectDelay   float64
+	firstLineTimeout float64        // ms to wait for the first line of the next connection, if over silenceTimeout
+	current          *connection    // nil while waiting to reconnect
+	timer            deadline.Entry // timeout of the current connection, or the delay before the next one
 }
 
 // connection is one connection to the discovery service.
 type connection struct {
-	watcher *Watcher
-	conn    transport.Conn
-	buffer  []byte // received, not handled yet
+	watcher  *Watcher
+	conn     transport.Conn
+	openedAt float64
+	hasLine  bool   // a line has arrived
+	buffer   []byte // received, not handled yet
 }
 
 // LoadKnown applies the events that the configuration holds under known, as JSON.
@@ -194,7 +198,12 @@
 func (w *Watcher) Start() {
 	c := &connection{watcher: w}
 	w.current = c
-	w.timer.Do = func() { c.disconnect("timeout: no connection or no line received", transport.NoAnswer) }
+	w.timer.Do = func() {
+		if c.conn != nil && !c.hasLine {
+			w.firstLineTimeout = math.Min(2*w.timeoutOfFirstLine(), maxFirstLineTimeout)
+		}
+		c.disconnect("timeout: no connection or no line received", transport.NoAnswer)
+	}
 	w.Deadlines.Set(&w.timer, w.Now()+w.ConnectTimeout)
 	w.Dialer.Dial(w.Addr, c)
 }
@@ -222,10 +231,25 @@
 		conn.Close()
 		return
 	}
-	c.watcher.Deadlines.Set(&c.watcher.timer, c.watcher.Now()+silenceTimeout)
+	c.openedAt = c.watcher.Now()
+	c.watcher.Deadlines.Set(&c.watcher.timer, c.openedAt+c.watcher.timeoutOfFirstLine())
 	conn.Write([]byte("watch " + strconv.FormatInt(c.watcher.revision, 10) + "\n"))
 }
 
+// timeoutOfFirstLine returns how long to wait for the first line of a connection. A service that is slow or crowded would never be heard
+// if each connection were given up as early as the first, and a dead connection be noticed late if each were kept for long.
+func (w *Watcher) timeoutOfFirstLine() float64 { return math.Max(w.firstLineTimeout, silenceTimeout) }
+
+// lineReceived restarts the timeout. A first line that was fast shows that the service is not slow any more.
+func (c *connection) lineReceived() {
+	w := c.watcher
+	if !c.hasLine && w.Now()-c.openedAt <= silenceTimeout {
+		w.firstLineTimeout = silenceTimeout
+	}
+	c.hasLine = true
+	w.Deadlines.Set(&w.timer, w.Now()+silenceTimeout)
+}
+
 // Received handles all complete lines and buffers the rest.
 func (c *connection) Received(b []byte) {
 	if c.watcher.current != c {
@@ -240,7 +264,7 @@
 		}
 		line := bytes.TrimSpace(c.buffer[consumed : consumed+i])
 		consumed += i + 1
-		c.watcher.Deadlines.Set(&c.watcher.timer, c.watcher.Now()+silenceTimeout)
+		c.lineReceived()
 		if err := c.handleLine(line); err != nil {
 			c.disconnect(err.Error(), transport.Malformed)
 			return
