--- a/internal/chhttp/server.go
+++ b/internal/chhttp/server.go
@@ -9,6 +9,7 @@
 	"math/rand"
 	"strings"
 
+	"thymeway/internal/arrival"
 	"thymeway/internal/config"
 	"thymeway/internal/connlimit"
 	"thymeway/internal/coordinator"
@@ -86,13 +87,15 @@
 	slot               *connlimit.Slot
 	excess             bool // the connection exceeds the connection limit, so its queries are refused
 	closed             bool
-	finishing          bool        // the session has ended, and its connection ends once its last answer is sent
-	processing         bool        // processInput is running
-	paused             bool        // no request is handled until resumeTimer fires
-	faultsInARow       int         // consecutive refused requests
-	input              []byte      // received, but not parsed yet
-	head               *http1.Head // of the request whose body is being received
-	headBytes          int         // bytes of memory that the head counts with
+	finishing          bool          // the session has ended, and its connection ends once its last answer is sent
+	processing         bool          // processInput is running
+	paused             bool          // no request is handled until resumeTimer fires
+	faultsInARow       int           // consecutive refused requests
+	input              []byte        // received, but not parsed yet
+	arrivals           arrival.Times // of the input
+	arrivedAt          float64       // when the latest part of a request that was parsed had arrived
+	head               *http1.Head   // of the request whose body is being received
+	headBytes          int           // bytes of memory that the head counts with
 	bodyDecoder        *http1.BodyDecoder
 	receivedBody       []byte          // body received so far
 	held               membudget.Share // bytes of this session's requests
@@ -149,6 +152,7 @@
 	s.slot.MarkBusy()
 	s.server.Deadlines.Cancel(&s.idleTimer)
 	s.input = append(s.input, b...)
+	s.arrivals.Add(len(s.input), s.server.Now(), s.query != nil || s.paused)
 	if !s.reserveBytes(s.neededBytes()) {
 		s.refuseUnreadForMemory()
 		return
@@ -215,6 +219,7 @@
 			return false
 		}
 		s.head, s.headBytes, s.input = head, headMemory(head, n), s.input[n:]
+		s.arrivedAt = s.arrivals.Take(n, srv.Now())
 		s.headOnly = head.Method == "HEAD"
 		s.receivedBody = nil
 		if expectation := head.Get("expect"); expectation != "" {
@@ -237,6 +242,9 @@
 	}
 	received, used, err := s.bodyDecoder.DecodeAll(s.receivedBody, s.input)
 	s.receivedBody, s.input = received, s.input[used:]
+	if used > 0 {
+		s.arrivedAt = s.arrivals.Take(used, srv.Now())
+	}
 	if err != nil {
 		s.refuseMalformed(err)
 		return false
@@ -341,7 +349,7 @@
 	if q.sessionID != "" {
 		srv.sessionLocks[q.user+"\x00"+q.sessionID] = s
 	}
-	q.Deadline = srv.Now() + q.timeLimit - math.Min(srv.AnswerMargin, q.timeLimit*maxMarginShare)
+	q.Deadline = s.arrivedAt + q.timeLimit - math.Min(srv.AnswerMargin, q.timeLimit*maxMarginShare)
 	q.Client, q.Protocol = s, "clickhouse"
 	srv.Coordinator.Submit(q.Request)
 }
--- a/internal/pg/session.go
+++ b/internal/pg/session.go
@@ -8,6 +8,7 @@
 	"math/rand"
 	"strings"
 
+	"thymeway/internal/arrival"
 	"thymeway/internal/connlimit"
 	"thymeway/internal/coordinator"
 	"thymeway/internal/deadline"
@@ -81,6 +82,8 @@
 	server       *Server
 	conn         transport.Conn
 	input        []byte
+	arrivals     arrival.Times // of the input
+	arrivedAt    float64       // when the message being handled had arrived
 	started      bool
 	closed       bool
 	finishing    bool   // the session has ended, and its connection ends once its last answer is sent
@@ -139,6 +142,7 @@
 	}
 	s.slot.MarkBusy()
 	s.input = append(s.input, b...)
+	s.arrivals.Add(len(s.input), s.server.Now(), s.request != nil || s.paused)
 	if s.reserveMemory() {
 		s.processInput()
 	}
@@ -172,6 +176,7 @@
 			break
 		}
 		consumed += size
+		s.arrivedAt = s.arrivals.Take(size, srv.Now())
 		if !s.started {
 			s.handleStartup(m)
 			continue
@@ -322,7 +327,7 @@
 		s.finish()
 		return
 	}
-	r.Deadline = s.server.Now() + timeLimit - math.Min(s.server.AnswerMargin, timeLimit*maxMarginShare)
+	r.Deadline = s.arrivedAt + timeLimit - math.Min(s.server.AnswerMargin, timeLimit*maxMarginShare)
 	r.Client, r.Protocol = s, "postgres"
 	s.request, s.faultsInRow = r, 0
 	s.server.Coordinator.Submit(r)
