Answer every request that was read at a shutdown

Cause: the first refusal at a shutdown ended the session, or a ClickHouse client's connection, over requests that had been read.

Change: only the last refusal of the complete input is fatal; a ClickHouse client's connection closes once no input is left.

--- a/internal/chhttp/server.go
+++ b/internal/chhttp/server.go
@@ -384,7 +384,7 @@
 	srv := s.server
 	switch {
 	case srv.ShuttingDown:
-		s.closeAfterResponse = true
+		s.closeAfterResponse = s.closeAfterResponse || len(s.input) == 0 // each request that was read gets an answer
 		return newException(codeAborted, "the coordinator shuts down")
 	case s.excess: // the query is not sent to any engine, so a retry is harmless
 		s.closeAfterResponse = true
--- a/internal/pg/session.go
+++ b/internal/pg/session.go
@@ -83,6 +83,7 @@
 	conn         transport.Conn
 	input        []byte
 	arrivals     arrival.Times // of the input
+	moreComplete bool          // while shutting down: a complete message follows the one being handled
 	arrivedAt    float64       // when the message being handled had arrived
 	started      bool
 	closed       bool
@@ -182,6 +183,7 @@
 			continue
 		}
 		srv.Deadlines.Cancel(&s.messageTimer)
+		s.moreComplete = srv.ShuttingDown && s.hasCompleteMessage(consumed)
 		s.handleMessage(m)
 	}
 	if s.closed {
@@ -208,6 +210,12 @@
 	}
 }
 
+// hasCompleteMessage reports whether a complete message starts at an offset of the input.
+func (s *Session) hasCompleteMessage(offset int) bool {
+	_, size, err := parseMessage(s.input[offset:], true, s.server.MaxInputBytes)
+	return err == nil && size > 0
+}
+
 // pause stops handling messages for a period in ms. A period of 0 lasts until the next turn.
 func (s *Session) pause(period float64) {
 	s.paused = true
@@ -318,6 +326,9 @@
 	case err != nil:
 		s.rejectQuery(codeSyntax, err.Error())
 		return
+	case s.server.ShuttingDown && s.moreComplete: // each query that was read gets an answer before the session ends
+		s.sendError("ERROR", codeShuttingDown, "the coordinator shuts down")
+		return
 	case s.server.ShuttingDown:
 		s.sendError("FATAL", codeShuttingDown, "the coordinator shuts down")
 		s.finish()
