Review of the change: one check of trailing bytes, one test for a generated key

Cause: the error and the check for bytes behind a response stood in both kinds of engines; whether a key is generated was told from its text beside the new field; a comment in choice/state.go had lost its declaration; a name and a comment in tests were off.

Change: http1.CheckTrailing and ErrTrailingBytes, hasGeneratedKey asks KeyGenerated, the comment stands at its type. No check is loosened, no behaviour changed.

--- a/choice/state.go
+++ b/choice/state.go
@@ -461,7 +461,6 @@
 	return float64((mixed^mixed>>31)>>11) / (1 << 53)
 }
 
-// tableGroup holds the decaying counts of a table group's requests, and the engines in their order of preference for it
 // countRequest counts a request for its table group.
 func (s *Scheduler) countRequest(tables string, isLoad bool) {
 	s.tableGroups.count(tables, isLoad, s.now, warmPeriodMs)
--- a/choice/table_groups.go
+++ b/choice/table_groups.go
@@ -12,7 +12,8 @@
 	maxRepeatedTableGroups = 4096 // requested several times
 )
 
-// tableGroup holds a table group's requests and loads, exponentially decaying counts, and its engines by hash rank.
+// tableGroup holds the decaying counts of a table group's requests, and the engines in their order of preference for it as of
+// listVersion.
 type tableGroup struct {
 	name                string
 	requests, updatedAt float64
--- a/cmd/thymeway/repeated_write_test.go
+++ b/cmd/thymeway/repeated_write_test.go
@@ -20,7 +20,7 @@
 	wantRuns         int
 }
 
-// writes are writes of both fronts. Only an INSERT that brings its rows and whose client sends a token may run again.
+// lostWrites are writes of both fronts. Only an INSERT that brings its rows and whose client sends a token may run again.
 var lostWrites = []lostWrite{
 	{"insert with token", "INSERT INTO sales_17.stock VALUES (1)", "", "insert_deduplication_token=t1", 2},
 	{"data with token", "INSERT INTO sales_17.stock FORMAT TSV", "1\n", "insert_deduplication_token=t2", 2},
--- a/cmd/thymeway/slow_clients_test.go
+++ b/cmd/thymeway/slow_clients_test.go
@@ -47,10 +47,10 @@
 	parts [][]byte // written one after the other, with a pause between
 }
 
-// idVerb stands in a part for the id of a client's request, which has idBytes digits.
+// idPlaceholder stands in a part for the id of a client's request, which has idBytes digits.
 const (
-	idVerb  = "%016x"
-	idBytes = 16
+	idPlaceholder = "%016x"
+	idBytes       = 16
 )
 
 // slowCrowds returns the crowds of all fronts.
@@ -65,7 +65,7 @@
 	longTarget := "POST /?user=acme&param_a=" + strings.Repeat("p", 60000) + " HTTP/1.1\r\nHost: x\r\n"
 	longFields := head + strings.Repeat("X-Long: "+strings.Repeat("v", 690)+"\r\n", 85)
 	body := "SELECT a FROM sales_1.t WHERE b = '" + strings.Repeat("x", 70000)
-	openQuery := "/* verb=report,txn=" + idVerb + ",limit=9000,team=acme */ SELECT a FROM sales_1.t -- slow " +
+	openQuery := "/* verb=report,txn=" + idPlaceholder + ",limit=9000,team=acme */ SELECT a FROM sales_1.t -- slow " +
 		strings.Repeat("x", 15000) + "\x00"
 	return []slowCrowd{
 		{"half a head", clickHouseFront, pieces(longTarget, 12)},
@@ -85,7 +85,7 @@
 		{"short fields of a scrape", metricsFront, pieces("GET /metrics HTTP/1.1\r\nHost: x\r\n"+strings.Repeat("a:\r\n", 15000), 12)},
 		{"half a start-up message", postgresFront, pieces(string(binary.BigEndian.AppendUint32(nil, 10000))+strings.Repeat("\x00", 8000), 12)},
 		{"half a query", postgresFront, pieces(string(startupMessage)+string(queryHeader(16000))+strings.Repeat("x", 15000), 12)},
-		{"query and half behind it", postgresFront, pieces(string(startupMessage)+string(queryHeader(len(openQuery)+idBytes-len(idVerb)))+openQuery+
+		{"query and half behind it", postgresFront, pieces(string(startupMessage)+string(queryHeader(len(openQuery)+idBytes-len(idPlaceholder)))+openQuery+
 			string(queryHeader(16000))+strings.Repeat("x", 15000), 12)},
 	}
 }
@@ -121,7 +121,7 @@
 		for _, part := range crowd.parts {
 			for i, c := range conns {
 				_ = c.SetWriteDeadline(time.Now().Add(time.Second))
-				_, _ = c.Write(bytes.ReplaceAll(part, []byte(idVerb), fmt.Appendf(nil, idVerb, i+1)))
+				_, _ = c.Write(bytes.ReplaceAll(part, []byte(idPlaceholder), fmt.Appendf(nil, idPlaceholder, i+1)))
 			}
 			time.Sleep(crowdWrites / time.Duration(len(crowd.parts)))
 		}
--- a/internal/chengine/pool.go
+++ b/internal/chengine/pool.go
@@ -271,10 +271,6 @@
 	c.done(r, transport.Served)
 }
 
-// errTrailingBytes is returned for a response with other bytes behind it than its own copy. Either its length is too short, so that
-// rows are missing, or it belongs to another call.
-var errTrailingBytes = errors.New("bytes behind the response")
-
 // parseInput adds bytes to the input, passes on progress headers, and returns the response if it is now complete. If more input
 // has arrived behind it, the response is returned only once that input is read or the connection has ended: it may be the rest of
 // a result whose length is too short.
@@ -291,8 +287,8 @@
 			return nil, nil
 		}
 	}
-	if len(cn.input) > 0 && !r.RepeatedBy(r.body, cn.input) {
-		return nil, errTrailingBytes
+	if err := r.CheckTrailing(r.body, cn.input); err != nil {
+		return nil, err
 	}
 	return r, cn.checkQueryID(r.Get("x-clickhouse-query-id"))
 }
--- a/internal/chhttp/server.go
+++ b/internal/chhttp/server.go
@@ -138,7 +138,8 @@
 	s.slot.MarkUnused()
 }
 
-// InputEmpty reports whether the connection is open, all received data has been read and all answers have been sent. It implements connlimit.Connection.
+// InputEmpty reports whether the connection is open, all received data has been read and all answers have been sent. It implements
+// connlimit.Connection.
 func (s *Session) InputEmpty() bool { return s.conn.Idle() && s.conn.Pending() == 0 }
 
 // Evict closes the connection in favor of another one.
--- a/internal/coordinator/storm_monitor.go
+++ b/internal/coordinator/storm_monitor.go
@@ -42,7 +42,7 @@
 // hasGeneratedKey reports whether the idempotency key is missing or generated from the request's id, so that a repeat has
 // another key.
 func (r *Request) hasGeneratedKey() bool {
-	return r.IdempotencyKey == "" || r.IdempotencyKey == "once-"+r.ID
+	return r.IdempotencyKey == "" || r.KeyGenerated
 }
 
 // forEachDetector calls f with the detector for all tenants and with that of the given tenant, if it has one.
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -273,9 +273,21 @@
 	return h, n, nil
 }
 
+// ErrTrailingBytes is returned for a response with other bytes behind it than its own copy. Either its length is too short, so that
+// a part of its body is missing, or it belongs to another call.
+var ErrTrailingBytes = errors.New("bytes behind the response")
+
+// CheckTrailing returns ErrTrailingBytes unless rest, which was received behind a response with this head and body, is empty or
+// begins with the same response once more.
+func (h *Head) CheckTrailing(body, rest []byte) error {
+	if len(rest) > 0 && !h.RepeatedBy(body, rest) {
+		return ErrTrailingBytes
+	}
+	return nil
+}
+
 // RepeatedBy reports whether rest, which was received behind a response with this head and body, begins with the same response
-// once more. The copy must have its whole head, while its body may be cut off. Other bytes behind a response show that its length
-// is wrong or that it belongs to another call.
+// once more. The copy must have its whole head, while its body may be cut off.
 func (h *Head) RepeatedBy(body, rest []byte) bool {
 	repeat, n, err := ParseResponse(rest, Limits{})
 	if err != nil || repeat.Status != h.Status || !slices.Equal(repeat.Fields, h.Fields) {
--- a/internal/workergroup/response.go
+++ b/internal/workergroup/response.go
@@ -36,14 +36,10 @@
 	body       []byte
 }
 
-// errTrailingBytes is returned for a response with other bytes behind it than its own copy. Either its length is too short, so that
-// rows are missing, or it belongs to another call.
-var errTrailingBytes = errors.New("bytes behind the response")
-
 // checkTrailing checks bytes that were received behind the response.
 func (r *response) checkTrailing(b []byte) error {
-	if !r.head.RepeatedBy(r.body, b) {
-		return errTrailingBytes
+	if err := r.head.CheckTrailing(r.body, b); err != nil {
+		return err
 	}
 	r.repeated, r.closeConn = true, true
 	return nil
@@ -70,7 +66,7 @@
 }
 
 // feed adds received bytes and returns the response that they complete, or nil. As a connection carries one call at a time,
-// bytes after a response belong to no call: unless they are a copy of the response, feed returns errTrailingBytes.
+// bytes after a response belong to no call: unless they are a copy of the response, feed returns http1.ErrTrailingBytes.
 func (p *parser) feed(b []byte) (*response, error) {
 	p.buf = append(p.buf, b...)
 	for p.head == nil {
